--- /dev/null
+++ b/src/bin/hoistctl.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
