--- a/crates/cassiahoist_config/src/check.rs
+++ b/crates/cassiahoist_config/src/check.rs
@@ -40,15 +40,9 @@
             return impossible(format!("exceptions[{index}].name"), "must not be empty");
         }
         if exception.reason.trim().is_empty() {
-            return impossible(
-                format!("exceptions[{index}].reason"),
-                "write down why it is needed",
-            );
+            return impossible(format!("exceptions[{index}].reason"), "write down why it is needed");
         }
-        if declarations.exceptions[..index]
-            .iter()
-            .any(|other| other.name == exception.name)
-        {
+        if declarations.exceptions[..index].iter().any(|other| other.name == exception.name) {
             return impossible(format!("exceptions[{index}].name"), "stands twice");
         }
     }
--- a/crates/cassiahoist_config/src/resolve.rs
+++ b/crates/cassiahoist_config/src/resolve.rs
@@ -23,9 +23,7 @@
 pub fn resolve_policy(declarations: &Declarations, subject: Subject<'_>, now_unix_s: u64) -> Policy {
     let mut policy = declarations.defaults.clone();
     for exception in &declarations.exceptions {
-        let in_time = exception
-            .expires_unix_s
-            .is_none_or(|expires_unix_s| now_unix_s < expires_unix_s);
+        let in_time = exception.expires_unix_s.is_none_or(|expires_unix_s| now_unix_s < expires_unix_s);
         if in_time && matches(&exception.scope, subject) {
             apply(&mut policy, &exception.set);
         }
@@ -50,26 +48,11 @@
             field.clone_from(value);
         }
     }
-    set(
-        &mut policy.request_queue_limit,
-        patch.request_queue_limit.as_ref(),
-    );
-    set(
-        &mut policy.request_deadline_ms,
-        patch.request_deadline_ms.as_ref(),
-    );
-    set(
-        &mut policy.request_deadline_limit_ms,
-        patch.request_deadline_limit_ms.as_ref(),
-    );
-    set(
-        &mut policy.retry_budget_permille,
-        patch.retry_budget_permille.as_ref(),
-    );
-    set(
-        &mut policy.long_share_permille,
-        patch.long_share_permille.as_ref(),
-    );
+    set(&mut policy.request_queue_limit, patch.request_queue_limit.as_ref());
+    set(&mut policy.request_deadline_ms, patch.request_deadline_ms.as_ref());
+    set(&mut policy.request_deadline_limit_ms, patch.request_deadline_limit_ms.as_ref());
+    set(&mut policy.retry_budget_permille, patch.retry_budget_permille.as_ref());
+    set(&mut policy.long_share_permille, patch.long_share_permille.as_ref());
     set(&mut policy.max_task_attempts, patch.max_task_attempts.as_ref());
     set(&mut policy.accepts_work, patch.accepts_work.as_ref());
     if patch.team_quota.is_some() {
--- a/crates/cassiahoist_core/src/answer.rs
+++ b/crates/cassiahoist_core/src/answer.rs
@@ -54,10 +54,7 @@
     /// Answers with an error kind and no more detail.
     #[must_use]
     pub fn error(kind: ErrorKind) -> Self {
-        Self::Error {
-            kind,
-            detail: String::new(),
-        }
+        Self::Error { kind, detail: String::new() }
     }
 
     /// Tells what became of the work.
--- a/crates/cassiahoist_core/src/name.rs
+++ b/crates/cassiahoist_core/src/name.rs
@@ -205,19 +205,13 @@
     /// Names the slice of a rack.
     #[must_use]
     pub fn hosts(domain: &FailureDomain, rack: &RackName) -> Self {
-        Self {
-            domain: domain.clone(),
-            part: SlicePart::Hosts(rack.clone()),
-        }
+        Self { domain: domain.clone(), part: SlicePart::Hosts(rack.clone()) }
     }
 
     /// Names an identity slice.
     #[must_use]
     pub fn identities(domain: &FailureDomain, index: u16) -> Self {
-        Self {
-            domain: domain.clone(),
-            part: SlicePart::Identities(index),
-        }
+        Self { domain: domain.clone(), part: SlicePart::Identities(index) }
     }
 
     /// Tells whether this is an identity slice.
--- a/crates/cassiahoist_core/src/resources.rs
+++ b/crates/cassiahoist_core/src/resources.rs
@@ -18,11 +18,7 @@
     /// Gives an amount.
     #[must_use]
     pub fn new(cpu_milli: u64, memory_mib: u64, accelerators: u32) -> Self {
-        Self {
-            cpu_milli,
-            memory_mib,
-            accelerators,
-        }
+        Self { cpu_milli, memory_mib, accelerators }
     }
 
     /// Tells whether this amount fits within `room`.
@@ -79,11 +75,7 @@
     #[must_use]
     pub fn dominant_share(&self, total: &Self) -> f64 {
         let share = |part: u64, whole: u64| {
-            if whole == 0 {
-                0.0
-            } else {
-                part as f64 / whole as f64
-            }
+            if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
         };
         share(self.cpu_milli, total.cpu_milli)
             .max(share(self.memory_mib, total.memory_mib))
--- a/crates/cassiahoist_daemon/src/args.rs
+++ b/crates/cassiahoist_daemon/src/args.rs
@@ -15,9 +15,7 @@
 
 /// Describes the command line.
 pub fn parser() -> OptionParser<Args> {
-    let check = long("check")
-        .help("Check SETTINGS and exit: 0 if they are good, 2 if not")
-        .switch();
+    let check = long("check").help("Check SETTINGS and exit: 0 if they are good, 2 if not").switch();
     let settings = positional("SETTINGS").help("Settings file in YAML; see docs/OPERATIONS.md");
     construct!(Args { check, settings })
         .to_options()
--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -62,7 +62,7 @@
     }
 }
 
-fn unreachable(error: impl ToString) -> HoistError {
+fn unreachable(error: impl std::fmt::Display) -> HoistError {
     HoistError::Unreachable(error.to_string())
 }
 
@@ -70,10 +70,7 @@
     let clock = MonotonicClock::new();
     // A later start has a greater number, since it starts later by the wall clock.
     let number = clock.unix_at_zero_ms() + clock.now_ms();
-    let incarnation = Incarnation {
-        member: settings.daemon.name.clone(),
-        number,
-    };
+    let incarnation = Incarnation { member: settings.daemon.name.clone(), number };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.daemon.traffic_threads)
         .enable_all()
@@ -103,9 +100,7 @@
         .name("control".into())
         .spawn(move || run_control(app, &inputs, clock, &dispatcher, &gauges))
         .map_err(unreachable)?;
-    control
-        .join()
-        .map_err(|_panic| HoistError::Unreachable("the control thread panicked".into()))
+    control.join().map_err(|_panic| HoistError::Unreachable("the control thread panicked".into()))
 }
 
 fn log_writer(settings: &Settings, incarnation: &Incarnation) -> LogWriter {
@@ -133,34 +128,20 @@
 ) -> Result<(Dispatcher, Gauges), HoistError> {
     let control = ControlLink::new(sender);
     let peers = PeerLinks::new(incarnation.clone());
-    let work = WorkContext {
-        clock,
-        control: control.clone(),
-        runners: HttpClient::new(),
-        peers: peers.clone(),
-    };
+    let work =
+        WorkContext { clock, control: control.clone(), runners: HttpClient::new(), peers: peers.clone() };
     let metrics = Metrics::new().map_err(HoistError::Unreachable)?;
     let gauges = Gauges::new(&metrics);
-    let callers = runtime
-        .block_on(TcpListener::bind(settings.listen.callers))
-        .map_err(unreachable)?;
-    let peer_listener = runtime
-        .block_on(TcpListener::bind(settings.listen.peers))
-        .map_err(unreachable)?;
+    let callers = runtime.block_on(TcpListener::bind(settings.listen.callers)).map_err(unreachable)?;
+    let peer_listener = runtime.block_on(TcpListener::bind(settings.listen.peers)).map_err(unreachable)?;
     let door = Door {
         work: work.clone(),
-        operators: OperatorContext {
-            control: control.clone(),
-            metrics,
-        },
+        operators: OperatorContext { control: control.clone(), metrics },
         max_body_bytes: settings.limits.max_body_bytes,
     };
     drop(runtime.spawn(door.serve(callers, door_stops)));
     drop(runtime.spawn(PeerDoor::new(work, incarnation.clone()).serve(peer_listener)));
-    drop(runtime.spawn(watch_host_list(
-        settings.platform.host_list.to_string(),
-        control.clone(),
-    )));
+    drop(runtime.spawn(watch_host_list(settings.platform.host_list.to_string(), control.clone())));
     drop(runtime.spawn(watch_signals(control.clone(), log.clone())));
     let dispatcher = Dispatcher {
         store: StoreClient::new(settings.platform.store.to_string(), control.clone()),
--- a/crates/cassiahoist_jobs/src/admit.rs
+++ b/crates/cassiahoist_jobs/src/admit.rs
@@ -28,16 +28,9 @@
         match decide(world, &arrived, now_ms) {
             Admission::Record => record(world, arrived, now_ms),
             Admission::ToOwner { peer, address } => {
-                let order = ForwardOrder {
-                    address,
-                    peer,
-                    hop: Hop::ToOwner,
-                    deadline_ms: arrived.deadline_ms,
-                };
-                world.emit(Effect::Verdict {
-                    ticket: arrived.ticket,
-                    verdict: Verdict::Forward(order),
-                });
+                let order =
+                    ForwardOrder { address, peer, hop: Hop::ToOwner, deadline_ms: arrived.deadline_ms };
+                world.emit(Effect::Verdict { ticket: arrived.ticket, verdict: Verdict::Forward(order) });
             }
             Admission::Answer(reply) => answer(world, arrived.ticket, reply),
         }
@@ -45,10 +38,7 @@
 }
 
 fn answer(world: &mut World, ticket: Ticket, reply: Answer) {
-    world.emit(Effect::Verdict {
-        ticket,
-        verdict: Verdict::Answer(reply),
-    });
+    world.emit(Effect::Verdict { ticket, verdict: Verdict::Answer(reply) });
 }
 
 fn decide(world: &World, arrived: &JobArrived, now_ms: u64) -> Admission {
@@ -65,10 +55,9 @@
     }
     match owner_of(world, &spec.identity, now_ms) {
         Ownership::Here => decide_here(world, spec),
-        Ownership::Peer { member, address } if arrived.hop == Hop::Door => Admission::ToOwner {
-            peer: member,
-            address,
-        },
+        Ownership::Peer { member, address } if arrived.hop == Hop::Door => {
+            Admission::ToOwner { peer: member, address }
+        }
         _ => refusal(ErrorKind::NoHolder),
     }
 }
@@ -107,14 +96,7 @@
 /// Hashes what was submitted.
 pub fn content_hash(spec: &JobSpec) -> u64 {
     let size = (spec.size.cpu_milli, spec.size.memory_mib, spec.size.accelerators);
-    stable_hash(&(
-        &spec.team,
-        &spec.kind,
-        spec.class,
-        spec.tasks,
-        size,
-        &spec.argument,
-    ))
+    stable_hash(&(&spec.team, &spec.kind, spec.class, spec.tasks, size, &spec.argument))
 }
 
 fn record(world: &mut World, arrived: JobArrived, now_ms: u64) {
@@ -143,11 +125,7 @@
         let Some(id) = world.jobs.find(&identity) else {
             continue;
         };
-        if world
-            .jobs
-            .get(id)
-            .is_some_and(|job| job.phase == JobPhase::Recording)
-        {
+        if world.jobs.get(id).is_some_and(|job| job.phase == JobPhase::Recording) {
             activate(world, id);
         }
     }
@@ -159,10 +137,7 @@
             let Some(id) = world.jobs.find(&identity) else {
                 continue;
             };
-            if world
-                .jobs
-                .get(id)
-                .is_some_and(|job| job.phase == JobPhase::Recording)
+            if world.jobs.get(id).is_some_and(|job| job.phase == JobPhase::Recording)
                 && let Some(job) = world.jobs.remove(id)
             {
                 for ticket in job.waiting {
@@ -180,17 +155,9 @@
     let (identity, count) = (job.spec.identity.clone(), job.spec.tasks);
     let mut tasks = Vec::with_capacity(count as usize);
     for index in 0..count {
-        let name = TaskName {
-            job: identity.clone(),
-            index,
-            attempt: 1,
-        };
-        let task = world.tasks.insert(Task {
-            job: id,
-            name,
-            phase: TaskPhase::Waiting,
-            failed_on: Vec::new(),
-        });
+        let name = TaskName { job: identity.clone(), index, attempt: 1 };
+        let task =
+            world.tasks.insert(Task { job: id, name, phase: TaskPhase::Waiting, failed_on: Vec::new() });
         world.tasks.waiting.push_back(task);
         tasks.push(task);
     }
--- a/crates/cassiahoist_jobs/src/news.rs
+++ b/crates/cassiahoist_jobs/src/news.rs
@@ -35,10 +35,7 @@
 }
 
 fn is_over(phase: &TaskPhase) -> bool {
-    matches!(
-        phase,
-        TaskPhase::Succeeded | TaskPhase::Failed | TaskPhase::Cancelled
-    )
+    matches!(phase, TaskPhase::Succeeded | TaskPhase::Failed | TaskPhase::Cancelled)
 }
 
 fn take_in(world: &mut World, id: TaskId, from: Incarnation, news: TaskNews, now_ms: u64) {
@@ -123,10 +120,7 @@
     job.phase = phase;
     let state = match phase {
         JobPhase::Ended(kind) => JournalState::Ended(kind),
-        _ => JournalState::Answered {
-            content_type: String::new(),
-            text: None,
-        },
+        _ => JournalState::Answered { content_type: String::new(), text: None },
     };
     let record = JournalRecord {
         identity: job.spec.identity.clone(),
--- a/crates/cassiahoist_jobs/src/order.rs
+++ b/crates/cassiahoist_jobs/src/order.rs
@@ -25,11 +25,7 @@
         let Some(id) = world.tasks.waiting.pop_front() else {
             break;
         };
-        if world
-            .tasks
-            .get(id)
-            .is_none_or(|task| task.phase != TaskPhase::Waiting)
-        {
+        if world.tasks.get(id).is_none_or(|task| task.phase != TaskPhase::Waiting) {
             continue;
         }
         match choose_holder(world, id) {
@@ -52,12 +48,7 @@
         let fits = job.spec.size.fits_within(&load.capacity);
         fits.then_some(load.free.cpu_milli)
     };
-    let own = world
-        .members
-        .own_loads
-        .get(fleet)
-        .and_then(room)
-        .map(|free| (free, &world.local.incarnation));
+    let own = world.members.own_loads.get(fleet).and_then(room).map(|free| (free, &world.local.incarnation));
     let peers = world
         .members
         .listed()
@@ -84,10 +75,7 @@
     let Some(task) = world.tasks.get_mut(id) else {
         return;
     };
-    task.phase = TaskPhase::Ordered {
-        holder: holder.clone(),
-        at_ms: now_ms,
-    };
+    task.phase = TaskPhase::Ordered { holder: holder.clone(), at_ms: now_ms };
     if let Some(order) = task_order(world, id) {
         orders.entry(holder).or_default().push(order);
     }
@@ -103,11 +91,7 @@
         class: spec.class,
         size: spec.size,
         declared_run_ms: spec.declared_run_ms,
-        gang_size: if spec.class == WorkClass::Gang {
-            spec.tasks
-        } else {
-            1
-        },
+        gang_size: if spec.class == WorkClass::Gang { spec.tasks } else { 1 },
         spread: spec.spread,
         idempotent: spec.idempotent,
         argument: spec.argument.clone(),
@@ -133,11 +117,7 @@
         return;
     };
     let address = member.record.peer_address.clone();
-    world.emit(Effect::Peer {
-        to: to.member.clone(),
-        address,
-        message,
-    });
+    world.emit(Effect::Peer { to: to.member.clone(), address, message });
 }
 
 /// Repeats orders that stay without news; holders recognise them by task and attempt.
--- a/crates/cassiahoist_jobs/src/report.rs
+++ b/crates/cassiahoist_jobs/src/report.rs
@@ -48,10 +48,7 @@
     }
     match serde_json::to_string(&report) {
         Ok(json) => Answer::Report { outcome, json },
-        Err(error) => Answer::Error {
-            kind: ErrorKind::BadRequest,
-            detail: error.to_string(),
-        },
+        Err(error) => Answer::Error { kind: ErrorKind::BadRequest, detail: error.to_string() },
     }
 }
 
@@ -72,10 +69,7 @@
     let Some(answer) = world.jobs.get(id).map(|job| job_answer(world, job)) else {
         return;
     };
-    world.emit(Effect::Verdict {
-        ticket: asked.ticket,
-        verdict: Verdict::Answer(answer),
-    });
+    world.emit(Effect::Verdict { ticket: asked.ticket, verdict: Verdict::Answer(answer) });
 }
 
 fn cancel(world: &mut World, id: JobId, now_ms: u64) {
@@ -94,10 +88,7 @@
             _ => None,
         };
         ran |= holder.is_some() || task.phase == TaskPhase::Succeeded;
-        if matches!(
-            task.phase,
-            TaskPhase::Waiting | TaskPhase::Ordered { .. } | TaskPhase::Running { .. }
-        ) {
+        if matches!(task.phase, TaskPhase::Waiting | TaskPhase::Ordered { .. } | TaskPhase::Running { .. }) {
             task.phase = TaskPhase::Cancelled;
         }
         let name = task.name.clone();
@@ -105,10 +96,6 @@
             send(world, &holder, PeerMessage::CancelTasks(vec![name]));
         }
     }
-    let kind = if ran {
-        ErrorKind::CancelledWhileRunning
-    } else {
-        ErrorKind::CancelledBeforeStart
-    };
+    let kind = if ran { ErrorKind::CancelledWhileRunning } else { ErrorKind::CancelledBeforeStart };
     end_job(world, id, JobPhase::Ended(kind), now_ms);
 }
--- a/crates/cassiahoist_journal/src/append.rs
+++ b/crates/cassiahoist_journal/src/append.rs
@@ -42,11 +42,7 @@
             journal.content = SegmentRecord::default();
         }
         let records = std::mem::take(&mut journal.batch);
-        journal.pending = Some(PendingAppend {
-            records,
-            started_ms: now_ms,
-            uncertain: false,
-        });
+        journal.pending = Some(PendingAppend { records, started_ms: now_ms, uncertain: false });
     }
     journal.in_flight = true;
     journal.next_call_ms = now_ms + APPEND_INTERVAL_MS;
@@ -79,8 +75,5 @@
         expected_version,
         value: StoreValue::Segment(content),
     };
-    world.emit(Effect::Store {
-        call,
-        started_ms: now_ms,
-    });
+    world.emit(Effect::Store { call, started_ms: now_ms });
 }
--- a/crates/cassiahoist_journal/src/lib.rs
+++ b/crates/cassiahoist_journal/src/lib.rs
@@ -51,11 +51,7 @@
         return Ownership::Nobody;
     };
     if world.slices.permit(id, now_ms).is_some() {
-        let open = world
-            .journal
-            .rows
-            .get(&id)
-            .is_some_and(|journal| journal.phase == JournalPhase::Open);
+        let open = world.journal.rows.get(&id).is_some_and(|journal| journal.phase == JournalPhase::Open);
         return if open { Ownership::Here } else { Ownership::Loading };
     }
     let Some(holder) = world.slices.holder_of(&name) else {
@@ -65,10 +61,9 @@
         return Ownership::Loading;
     }
     match world.members.get_named(&holder.member) {
-        Some(member) if member.record.incarnation == *holder => Ownership::Peer {
-            member: holder.member.clone(),
-            address: member.record.peer_address.clone(),
-        },
+        Some(member) if member.record.incarnation == *holder => {
+            Ownership::Peer { member: holder.member.clone(), address: member.record.peer_address.clone() }
+        }
         _ => Ownership::Nobody,
     }
 }
--- a/crates/cassiahoist_journal/src/open.rs
+++ b/crates/cassiahoist_journal/src/open.rs
@@ -15,10 +15,7 @@
         .collect();
     drop_lost(world, &held);
     for (id, term) in held {
-        world.journal.rows.entry(id).or_insert_with(|| Journal {
-            term,
-            ..Journal::default()
-        });
+        world.journal.rows.entry(id).or_insert_with(|| Journal { term, ..Journal::default() });
         load(world, id, now_ms);
     }
 }
@@ -38,10 +35,7 @@
         let queued = journal.batch.into_iter().map(|record| record.identity);
         world.journal.not_written.extend(queued);
         let pending = journal.pending.into_iter().flat_map(|pending| pending.records);
-        world
-            .journal
-            .uncertain
-            .extend(pending.map(|record| record.identity));
+        world.journal.uncertain.extend(pending.map(|record| record.identity));
     }
 }
 
@@ -59,12 +53,6 @@
         return;
     }
     journal.in_flight = true;
-    let key = StoreKey::Segment {
-        slice: name,
-        number: journal.segment,
-    };
-    world.emit(Effect::Store {
-        call: StoreCall::Read { key, newer_than: 0 },
-        started_ms: now_ms,
-    });
+    let key = StoreKey::Segment { slice: name, number: journal.segment };
+    world.emit(Effect::Store { call: StoreCall::Read { key, newer_than: 0 }, started_ms: now_ms });
 }
--- a/crates/cassiahoist_journal/src/replies.rs
+++ b/crates/cassiahoist_journal/src/replies.rs
@@ -17,13 +17,8 @@
     let is_segment_call = |answered: &mut StoreAnswered| {
         matches!(
             answered.call,
-            StoreCall::Read {
-                key: StoreKey::Segment { .. },
-                ..
-            } | StoreCall::Swap {
-                key: StoreKey::Segment { .. },
-                ..
-            }
+            StoreCall::Read { key: StoreKey::Segment { .. }, .. }
+                | StoreCall::Swap { key: StoreKey::Segment { .. }, .. }
         )
     };
     let answers: Vec<_> = world.inbox.store.extract_if(.., is_segment_call).collect();
@@ -34,10 +29,7 @@
 
 fn read_reply(world: &mut World, answered: StoreAnswered, now_ms: u64) {
     let (slice, number, written) = match answered.call {
-        StoreCall::Read {
-            key: StoreKey::Segment { slice, number },
-            ..
-        } => (slice, number, None),
+        StoreCall::Read { key: StoreKey::Segment { slice, number }, .. } => (slice, number, None),
         StoreCall::Swap {
             key: StoreKey::Segment { slice, number },
             value: StoreValue::Segment(content),
@@ -64,28 +56,18 @@
         return;
     }
     match (journal.phase, written) {
-        (JournalPhase::Loading, Some(content)) => after_seal(journal, answered.reply, content),
+        (JournalPhase::Loading, Some(content)) => after_seal(journal, &answered.reply, content),
         (JournalPhase::Loading, None) => {
             let seal = after_load(journal, answered.reply);
             if let Some((expected_version, content)) = seal {
                 let key = StoreKey::Segment { slice, number };
-                let call = StoreCall::Swap {
-                    key,
-                    expected_version,
-                    value: StoreValue::Segment(content),
-                };
-                world.emit(Effect::Store {
-                    call,
-                    started_ms: now_ms,
-                });
+                let call = StoreCall::Swap { key, expected_version, value: StoreValue::Segment(content) };
+                world.emit(Effect::Store { call, started_ms: now_ms });
             }
         }
         (JournalPhase::Open, Some(content)) => {
-            if let Some(call) = after_append(&mut world.journal, id, answered.reply, content) {
-                world.emit(Effect::Store {
-                    call: read_back(slice, number, call),
-                    started_ms: now_ms,
-                });
+            if let Some(call) = after_append(&mut world.journal, id, &answered.reply, content) {
+                world.emit(Effect::Store { call: read_back(slice, number, call), started_ms: now_ms });
             }
         }
         (JournalPhase::Open, None) => after_read_back(&mut world.journal, id, answered.reply),
@@ -96,10 +78,7 @@
 struct ReadBack;
 
 fn read_back(slice: SliceName, number: u64, _step: ReadBack) -> StoreCall {
-    StoreCall::Read {
-        key: StoreKey::Segment { slice, number },
-        newer_than: 0,
-    }
+    StoreCall::Read { key: StoreKey::Segment { slice, number }, newer_than: 0 }
 }
 
 /// Takes in a segment while loading; gives the seal to write, if one is needed.
@@ -111,33 +90,20 @@
             journal.content = SegmentRecord::default();
             None
         }
-        StoreReply::Value {
-            value: StoreValue::Segment(content),
-            ..
-        } if content.sealed => {
+        StoreReply::Value { value: StoreValue::Segment(content), .. } if content.sealed => {
             take_in(journal, content);
             None
         }
-        StoreReply::Value {
-            version,
-            value: StoreValue::Segment(content),
-        } => {
+        StoreReply::Value { version, value: StoreValue::Segment(content) } => {
             journal.in_flight = true;
-            Some((
-                version,
-                SegmentRecord {
-                    sealed: true,
-                    term: journal.term,
-                    ..content
-                },
-            ))
+            Some((version, SegmentRecord { sealed: true, term: journal.term, ..content }))
         }
         _ => None,
     }
 }
 
 /// A seal that failed is followed by another reading.
-fn after_seal(journal: &mut Journal, reply: StoreReply, content: SegmentRecord) {
+fn after_seal(journal: &mut Journal, reply: &StoreReply, content: SegmentRecord) {
     if let StoreReply::Swapped { .. } = reply {
         take_in(journal, content);
     }
@@ -154,13 +120,13 @@
 fn after_append(
     table: &mut JournalTable,
     id: SliceId,
-    reply: StoreReply,
+    reply: &StoreReply,
     content: SegmentRecord,
 ) -> Option<ReadBack> {
     let journal = table.rows.get_mut(&id)?;
     match reply {
         StoreReply::Swapped { version } => {
-            settle_written(table, id, version, content);
+            settle_written(table, id, *version, content);
             None
         }
         StoreReply::Conflict if journal.pending.as_ref().is_some_and(|pending| pending.uncertain) => {
@@ -179,11 +145,7 @@
     let Some(journal) = table.rows.get(&id) else {
         return;
     };
-    let StoreReply::Value {
-        version,
-        value: StoreValue::Segment(content),
-    } = reply
-    else {
+    let StoreReply::Value { version, value: StoreValue::Segment(content) } = reply else {
         settle_not_written(table, id);
         return;
     };
@@ -221,9 +183,7 @@
         return;
     };
     if let Some(pending) = journal.pending.take() {
-        table
-            .not_written
-            .extend(pending.records.into_iter().map(|record| record.identity));
+        table.not_written.extend(pending.records.into_iter().map(|record| record.identity));
     }
     reload(journal);
 }
--- a/crates/cassiahoist_ownership/src/claim.rs
+++ b/crates/cassiahoist_ownership/src/claim.rs
@@ -42,10 +42,7 @@
                 expected_version,
                 value: StoreValue::Slices(record),
             };
-            world.emit(Effect::Store {
-                call,
-                started_ms: now_ms,
-            });
+            world.emit(Effect::Store { call, started_ms: now_ms });
         }
     }
 }
@@ -60,11 +57,7 @@
 fn changed_record(world: &World, domain: &FailureDomain) -> Option<DomainRecord> {
     let mut changed = false;
     let mut slices = BTreeMap::new();
-    for (_, slice) in world
-        .slices
-        .iter()
-        .filter(|(_, slice)| slice.name.domain == *domain)
-    {
+    for (_, slice) in world.slices.iter().filter(|(_, slice)| slice.name.domain == *domain) {
         let record = match wanted_change(world, slice) {
             RecordChange::Keep => slice.record.clone(),
             RecordChange::Take => {
@@ -94,33 +87,16 @@
 }
 
 fn released(record: &SliceRecord) -> SliceRecord {
-    SliceRecord {
-        holder: None,
-        successors: Vec::new(),
-        version: record.version + 1,
-        ..record.clone()
-    }
+    SliceRecord { holder: None, successors: Vec::new(), version: record.version + 1, ..record.clone() }
 }
 
 fn wanted_change(world: &World, slice: &Slice) -> RecordChange {
     let stopping = world.local.stop.is_stopping();
     if slice.tenure().is_some() {
-        return if stopping && is_idle(world, slice) {
-            RecordChange::Release
-        } else {
-            RecordChange::Keep
-        };
-    }
-    let held = slice
-        .record
-        .holder
-        .as_ref()
-        .is_some_and(|holder| world.members.is_listed(holder));
-    if !stopping && !held && is_preferred(world, slice) {
-        RecordChange::Take
-    } else {
-        RecordChange::Keep
+        return if stopping && is_idle(world, slice) { RecordChange::Release } else { RecordChange::Keep };
     }
+    let held = slice.record.holder.as_ref().is_some_and(|holder| world.members.is_listed(holder));
+    if !stopping && !held && is_preferred(world, slice) { RecordChange::Take } else { RecordChange::Keep }
 }
 
 /// Tells whether nothing of this daemon's own work depends on the slice any more.
--- a/crates/cassiahoist_ownership/src/domain_records.rs
+++ b/crates/cassiahoist_ownership/src/domain_records.rs
@@ -10,13 +10,8 @@
     let is_slice_call = |answered: &mut StoreAnswered| {
         matches!(
             answered.call,
-            StoreCall::Read {
-                key: StoreKey::Slices(_),
-                ..
-            } | StoreCall::Swap {
-                key: StoreKey::Slices(_),
-                ..
-            }
+            StoreCall::Read { key: StoreKey::Slices(_), .. }
+                | StoreCall::Swap { key: StoreKey::Slices(_), .. }
         )
     };
     let answers: Vec<_> = world.inbox.store.extract_if(.., is_slice_call).collect();
@@ -27,30 +22,17 @@
 
 fn read_reply(world: &mut World, answered: StoreAnswered, now_ms: u64) {
     let (domain, written) = match answered.call {
-        StoreCall::Swap {
-            key: StoreKey::Slices(domain),
-            value: StoreValue::Slices(record),
-            ..
-        } => (domain, Some(record)),
-        StoreCall::Read {
-            key: StoreKey::Slices(domain),
-            ..
-        } => (domain, None),
+        StoreCall::Swap { key: StoreKey::Slices(domain), value: StoreValue::Slices(record), .. } => {
+            (domain, Some(record))
+        }
+        StoreCall::Read { key: StoreKey::Slices(domain), .. } => (domain, None),
         _ => return,
     };
     let reading = world.slices.domains.entry(domain.clone()).or_default();
     reading.in_flight = false;
     match (answered.reply, written) {
-        (
-            StoreReply::Value {
-                version,
-                value: StoreValue::Slices(record),
-            },
-            _,
-        ) => {
-            apply_record(world, &domain, version, &record, answered.started_ms, now_ms);
-        }
-        (StoreReply::Swapped { version }, Some(record)) => {
+        (StoreReply::Value { version, value: StoreValue::Slices(record) }, _)
+        | (StoreReply::Swapped { version }, Some(record)) => {
             apply_record(world, &domain, version, &record, answered.started_ms, now_ms);
         }
         (StoreReply::Unchanged, _) => confirm_unchanged(world, &domain, answered.started_ms),
@@ -127,11 +109,7 @@
     if let Some(reading) = world.slices.domains.get_mut(domain) {
         reading.read_ms = reading.read_ms.max(Some(started_ms));
     }
-    for (_, slice) in world
-        .slices
-        .iter_mut()
-        .filter(|(_, slice)| slice.name.domain == *domain)
-    {
+    for (_, slice) in world.slices.iter_mut().filter(|(_, slice)| slice.name.domain == *domain) {
         if let SliceRole::Holder(tenure) = &mut slice.role {
             extend(tenure, started_ms, permission_ms);
         }
@@ -162,14 +140,8 @@
         if !reading.in_flight && now_ms >= reading.next_read_ms {
             reading.in_flight = true;
             reading.next_read_ms = now_ms + interval_ms;
-            let call = StoreCall::Read {
-                key: StoreKey::Slices(domain),
-                newer_than: reading.version,
-            };
-            world.emit(Effect::Store {
-                call,
-                started_ms: now_ms,
-            });
+            let call = StoreCall::Read { key: StoreKey::Slices(domain), newer_than: reading.version };
+            world.emit(Effect::Store { call, started_ms: now_ms });
         }
     }
     world.wake_by(now_ms + interval_ms);
--- a/crates/cassiahoist_ownership/src/gossip.rs
+++ b/crates/cassiahoist_ownership/src/gossip.rs
@@ -35,19 +35,10 @@
             .members
             .listed()
             .filter(|member| member.record.incarnation != world.local.incarnation)
-            .map(|member| {
-                (
-                    member.record.incarnation.member.clone(),
-                    member.record.peer_address.clone(),
-                )
-            })
+            .map(|member| (member.record.incarnation.member.clone(), member.record.peer_address.clone()))
             .collect();
         for (to, address) in peers {
-            world.emit(Effect::Peer {
-                to,
-                address,
-                message: PeerMessage::Gossip(gossip.clone()),
-            });
+            world.emit(Effect::Peer { to, address, message: PeerMessage::Gossip(gossip.clone()) });
         }
     }
     world.wake_by(world.members.next_gossip_ms);
--- a/crates/cassiahoist_ownership/src/host_list.rs
+++ b/crates/cassiahoist_ownership/src/host_list.rs
@@ -31,9 +31,7 @@
 }
 
 fn take_in(world: &mut World, report: &HostReport) {
-    let slice = world
-        .slices
-        .ensure(&SliceName::hosts(&report.domain, &report.rack));
+    let slice = world.slices.ensure(&SliceName::hosts(&report.domain, &report.rack));
     let Some(id) = world.hosts.find(&report.name) else {
         world.hosts.insert(report, slice);
         return;
--- a/crates/cassiahoist_ownership/src/membership.rs
+++ b/crates/cassiahoist_ownership/src/membership.rs
@@ -78,25 +78,14 @@
     if !world.store.renew_in_flight && now_ms >= world.store.next_renew_ms {
         world.store.renew_in_flight = true;
         world.store.next_renew_ms = now_ms + timing.member_ttl_ms / 3;
-        let call = StoreCall::RenewMember {
-            record: own_record(world),
-            ttl_ms: timing.member_ttl_ms,
-        };
-        world.emit(Effect::Store {
-            call,
-            started_ms: now_ms,
-        });
+        let call = StoreCall::RenewMember { record: own_record(world), ttl_ms: timing.member_ttl_ms };
+        world.emit(Effect::Store { call, started_ms: now_ms });
     }
     if !world.store.list_in_flight && now_ms >= world.store.next_list_ms {
         world.store.list_in_flight = true;
         world.store.next_list_ms = now_ms + timing.confirm_interval_ms;
-        let call = StoreCall::ListMembers {
-            newer_than: world.members.version,
-        };
-        world.emit(Effect::Store {
-            call,
-            started_ms: now_ms,
-        });
+        let call = StoreCall::ListMembers { newer_than: world.members.version };
+        world.emit(Effect::Store { call, started_ms: now_ms });
     }
     world.wake_by(world.store.next_renew_ms.max(now_ms + 1));
     world.wake_by(world.store.next_list_ms.max(now_ms + 1));
--- a/crates/cassiahoist_ownership/src/send_gate.rs
+++ b/crates/cassiahoist_ownership/src/send_gate.rs
@@ -8,9 +8,7 @@
 /// Drops commands to hosts whose permission lapsed within the tick.
 pub fn drop_lapsed_effects(world: &mut World, now_ms: u64) {
     let slices = &world.slices;
-    world
-        .outbox
-        .retain_mut(|effect| may_leave(slices, effect, now_ms));
+    world.outbox.retain_mut(|effect| may_leave(slices, effect, now_ms));
 }
 
 fn may_leave(slices: &SliceTable, effect: &mut Effect, now_ms: u64) -> bool {
--- a/crates/cassiahoist_ownership/src/stop.rs
+++ b/crates/cassiahoist_ownership/src/stop.rs
@@ -25,10 +25,7 @@
     if overdue || (!holds_slices && world.requests.is_empty()) {
         world.local.stop = StopState::Drained;
         let incarnation = world.local.incarnation.clone();
-        world.emit(Effect::Store {
-            call: StoreCall::RemoveMember { incarnation },
-            started_ms: now_ms,
-        });
+        world.emit(Effect::Store { call: StoreCall::RemoveMember { incarnation }, started_ms: now_ms });
         world.emit(Effect::Exit);
     }
     world.wake_by(now_ms + 50);
--- a/crates/cassiahoist_placement/src/choose.rs
+++ b/crates/cassiahoist_placement/src/choose.rs
@@ -41,10 +41,5 @@
             && !order.avoid.contains(&host.report.name);
         usable.then(|| (policy.score(&order.size, &free, capacity), id))
     };
-    world
-        .hosts
-        .iter()
-        .filter_map(|(id, _)| score(id))
-        .min()
-        .map(|(_, id)| id)
+    world.hosts.iter().filter_map(|(id, _)| score(id)).min().map(|(_, id)| id)
 }
--- a/crates/cassiahoist_placement/src/load.rs
+++ b/crates/cassiahoist_placement/src/load.rs
@@ -22,11 +22,7 @@
             continue;
         }
         let free = world.hosts.free_resources(id);
-        let load = world
-            .members
-            .own_loads
-            .entry(host.report.name.fleet.clone())
-            .or_default();
+        let load = world.members.own_loads.entry(host.report.name.fleet.clone()).or_default();
         load.free = load.free.plus(&free);
         load.largest_free = load.largest_free.max(&free);
         load.capacity = load.capacity.plus(capacity);
--- a/crates/cassiahoist_placement/src/orders.rs
+++ b/crates/cassiahoist_placement/src/orders.rs
@@ -13,13 +13,8 @@
             continue;
         }
         let booked = order.size;
-        let id = world.runs.insert(Run {
-            order,
-            owner,
-            booked,
-            phase: RunPhase::Waiting,
-            ordered_ms: now_ms,
-        });
+        let id =
+            world.runs.insert(Run { order, owner, booked, phase: RunPhase::Waiting, ordered_ms: now_ms });
         world.runs.waiting.push_back(id);
     }
 }
@@ -34,14 +29,7 @@
     let Some(name) = world.hosts.get(host).map(|host| host.report.name.clone()) else {
         return;
     };
-    tell_owner(
-        world,
-        owner,
-        TaskNews {
-            task,
-            state: TaskNewsState::Running(name),
-        },
-    );
+    tell_owner(world, owner, TaskNews { task, state: TaskNewsState::Running(name) });
 }
 
 /// Takes in cancels: a waiting run is dropped, a booked one is stopped at its worker.
@@ -72,9 +60,5 @@
         return;
     };
     let address = member.record.peer_address.clone();
-    world.emit(Effect::Peer {
-        to: owner.clone(),
-        address,
-        message,
-    });
+    world.emit(Effect::Peer { to: owner.clone(), address, message });
 }
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -26,12 +26,7 @@
             left.push_back(id);
         }
     }
-    left.retain(|&id| {
-        world
-            .runs
-            .get(id)
-            .is_some_and(|run| run.phase == RunPhase::Waiting)
-    });
+    left.retain(|&id| world.runs.get(id).is_some_and(|run| run.phase == RunPhase::Waiting));
     world.runs.waiting = left;
 }
 
@@ -51,22 +46,14 @@
         return false;
     };
     let (job, size) = (run.order.task.job.clone(), run.order.gang_size as usize);
-    let members: Vec<RunId> = world
-        .runs
-        .iter()
-        .filter(|(_, run)| run.order.task.job == job)
-        .map(|(id, _)| id)
-        .collect();
+    let members: Vec<RunId> =
+        world.runs.iter().filter(|(_, run)| run.order.task.job == job).map(|(id, _)| id).collect();
     if members.len() < size {
         return false;
     }
     let mut booked = Vec::new();
     for id in members {
-        if world
-            .runs
-            .get(id)
-            .is_some_and(|run| run.phase != RunPhase::Waiting)
-        {
+        if world.runs.get(id).is_some_and(|run| run.phase != RunPhase::Waiting) {
             continue;
         }
         if !place_one(world, id, now_ms) {
@@ -86,9 +73,7 @@
     let (size, team) = (run.booked, run.order.team.clone());
     world.hosts.booked[host] = world.hosts.booked[host].plus(&size);
     world.teams.book(&team, &size);
-    world
-        .runs
-        .set_phase(id, RunPhase::Starting { host, at_ms: now_ms });
+    world.runs.set_phase(id, RunPhase::Starting { host, at_ms: now_ms });
     world.counters.tasks_started += 1;
 }
 
--- a/crates/cassiahoist_placement/src/reports.rs
+++ b/crates/cassiahoist_placement/src/reports.rs
@@ -62,10 +62,7 @@
         adopt_run(world, host, running, since_ms);
         return;
     };
-    if matches!(
-        world.runs.get(id).map(|run| &run.phase),
-        Some(RunPhase::Starting { .. })
-    ) {
+    if matches!(world.runs.get(id).map(|run| &run.phase), Some(RunPhase::Starting { .. })) {
         world.runs.set_phase(id, RunPhase::Running { host, since_ms });
         tell_running(world, id, host);
     }
@@ -79,13 +76,8 @@
     world.hosts.booked[host] = world.hosts.booked[host].plus(&size);
     world.teams.book(&running.order.team, &size);
     let phase = RunPhase::Running { host, since_ms };
-    let id = world.runs.insert(Run {
-        order: running.order,
-        owner,
-        booked: size,
-        phase,
-        ordered_ms: since_ms,
-    });
+    let id =
+        world.runs.insert(Run { order: running.order, owner, booked: size, phase, ordered_ms: since_ms });
     tell_running(world, id, host);
 }
 
@@ -95,14 +87,7 @@
         return;
     };
     let (owner, task) = (run.owner.clone(), run.order.task.clone());
-    tell_owner(
-        world,
-        &owner,
-        TaskNews {
-            task,
-            state: TaskNewsState::Running(name),
-        },
-    );
+    tell_owner(world, &owner, TaskNews { task, state: TaskNewsState::Running(name) });
 }
 
 fn note_finished(world: &mut World, host: HostId, finished: FinishedTask) {
@@ -115,16 +100,6 @@
     let Some(name) = world.hosts.get(host).map(|host| host.report.name.clone()) else {
         return;
     };
-    let state = TaskNewsState::Ended {
-        host: name,
-        exit: finished.exit,
-    };
-    tell_owner(
-        world,
-        &run.owner,
-        TaskNews {
-            task: finished.task,
-            state,
-        },
-    );
+    let state = TaskNewsState::Ended { host: name, exit: finished.exit };
+    tell_owner(world, &run.owner, TaskNews { task: finished.task, state });
 }
--- a/crates/cassiahoist_placement/src/sync.rs
+++ b/crates/cassiahoist_placement/src/sync.rs
@@ -79,37 +79,19 @@
         }
     }
     let busy = !world.runs.on_host(id).is_empty();
-    let interval_ms = if busy {
-        BUSY_SYNC_INTERVAL_MS
-    } else {
-        world.local.timing.worker_sync_interval_ms
-    };
+    let interval_ms = if busy { BUSY_SYNC_INTERVAL_MS } else { world.local.timing.worker_sync_interval_ms };
     let urgent = !body.start.is_empty() || !adopted;
     if !urgent && now_ms < last_ms + interval_ms {
         return;
     }
     for run_id in starting {
-        world.runs.set_phase(
-            run_id,
-            RunPhase::Starting {
-                host: id,
-                at_ms: now_ms,
-            },
-        );
+        world.runs.set_phase(run_id, RunPhase::Starting { host: id, at_ms: now_ms });
     }
     let sync = &mut world.hosts.sync[id];
     (sync.in_flight, sync.last_ms) = (true, now_ms);
     sync.forget.clear();
     if !adopted && let Some(host) = world.hosts.get_mut(id) {
-        host.adoption = Adoption::Asked {
-            term: permit.term,
-            at_ms: now_ms,
-        };
+        host.adoption = Adoption::Asked { term: permit.term, at_ms: now_ms };
     }
-    world.emit(Effect::Worker(WorkerCommand {
-        host: id,
-        address,
-        permit,
-        body,
-    }));
+    world.emit(Effect::Worker(WorkerCommand { host: id, address, permit, body }));
 }
--- a/crates/cassiahoist_requests/src/admit.rs
+++ b/crates/cassiahoist_requests/src/admit.rs
@@ -61,10 +61,7 @@
     match owner_of(world, &spec.identity, now_ms) {
         Ownership::Here => {}
         Ownership::Peer { member, address } if arrived.hop == Hop::Door => {
-            return Admission::ToOwner {
-                peer: member,
-                address,
-            };
+            return Admission::ToOwner { peer: member, address };
         }
         _ => return Admission::Answer(Answer::error(ErrorKind::NoHolder)),
     }
@@ -83,16 +80,13 @@
         return Answer::error(ErrorKind::IdentityReused);
     }
     match &record.state {
-        JournalState::Accepted => Answer::error(ErrorKind::AnswerLost),
         JournalState::Ended(kind) => Answer::error(*kind),
-        JournalState::Answered {
-            content_type,
-            text: Some(text),
-        } => Answer::Whole(AnswerBody {
-            content_type: content_type.clone(),
-            bytes: text.clone().into_bytes(),
-        }),
-        JournalState::Answered { text: None, .. } => Answer::error(ErrorKind::AnswerLost),
+        JournalState::Answered { content_type, text: Some(text) } => {
+            Answer::Whole(AnswerBody { content_type: content_type.clone(), bytes: text.clone().into_bytes() })
+        }
+        JournalState::Accepted | JournalState::Answered { text: None, .. } => {
+            Answer::error(ErrorKind::AnswerLost)
+        }
     }
 }
 
@@ -124,10 +118,7 @@
             let ticket = arrived.ticket;
             insert(world, arrived, RequestPhase::Forwarded { peer }, now_ms);
             world.counters.requests_forwarded += 1;
-            world.emit(Effect::Verdict {
-                ticket,
-                verdict: Verdict::Forward(order),
-            });
+            world.emit(Effect::Verdict { ticket, verdict: Verdict::Forward(order) });
         }
         Admission::Follow(id) => {
             if let Some(request) = world.requests.get_mut(id) {
@@ -161,12 +152,7 @@
         };
         if request.phase == RequestPhase::Recording {
             request.phase = RequestPhase::Queued;
-            world
-                .requests
-                .queues
-                .entry(identity.fleet.clone())
-                .or_default()
-                .push_back(id);
+            world.requests.queues.entry(identity.fleet.clone()).or_default().push_back(id);
         }
     }
     for (identities, kind) in [
@@ -177,11 +163,7 @@
             let Some(id) = world.requests.find_identity(&identity) else {
                 continue;
             };
-            if world
-                .requests
-                .get(id)
-                .is_some_and(|request| request.phase == RequestPhase::Recording)
-            {
+            if world.requests.get(id).is_some_and(|request| request.phase == RequestPhase::Recording) {
                 refuse(world, id, kind);
             }
         }
--- a/crates/cassiahoist_requests/src/grant.rs
+++ b/crates/cassiahoist_requests/src/grant.rs
@@ -59,11 +59,7 @@
         (is_runner && host.report.name.fleet == *fleet && host.takes_work(permit.term))
             .then(|| (world.hosts.free_slots(id), id))
     };
-    let best = world
-        .hosts
-        .iter()
-        .filter_map(|(id, _)| usable(id))
-        .max_by_key(|&(free, _)| free)?;
+    let best = world.hosts.iter().filter_map(|(id, _)| usable(id)).max_by_key(|&(free, _)| free)?;
     (best.0 > 0).then_some(best.1)
 }
 
@@ -87,17 +83,9 @@
             };
             request.phase = RequestPhase::Forwarded { peer: peer.clone() };
             let (ticket, deadline_ms) = (request.ticket, request.spec.deadline_ms);
-            let order = ForwardOrder {
-                address,
-                peer,
-                hop: Hop::ToRunnerHolder,
-                deadline_ms,
-            };
+            let order = ForwardOrder { address, peer, hop: Hop::ToRunnerHolder, deadline_ms };
             world.counters.requests_forwarded += 1;
-            world.emit(Effect::Verdict {
-                ticket,
-                verdict: Verdict::Forward(order),
-            });
+            world.emit(Effect::Verdict { ticket, verdict: Verdict::Forward(order) });
         }
         Grant::Wait => {}
     }
@@ -128,8 +116,5 @@
     let ticket = request.ticket;
     world.hosts.slots_used[runner] += 1;
     world.counters.requests_granted += 1;
-    world.emit(Effect::Verdict {
-        ticket,
-        verdict: Verdict::Run(order),
-    });
+    world.emit(Effect::Verdict { ticket, verdict: Verdict::Run(order) });
 }
--- a/crates/cassiahoist_requests/src/load.rs
+++ b/crates/cassiahoist_requests/src/load.rs
@@ -16,11 +16,7 @@
             continue;
         };
         if host.takes_work(permit.term) {
-            let load = world
-                .members
-                .own_loads
-                .entry(host.report.name.fleet.clone())
-                .or_default();
+            let load = world.members.own_loads.entry(host.report.name.fleet.clone()).or_default();
             load.free_slots += world.hosts.free_slots(id);
             load.total_slots += slots;
         }
--- a/crates/cassiahoist_requests/src/lookup.rs
+++ b/crates/cassiahoist_requests/src/lookup.rs
@@ -20,16 +20,9 @@
             }
             Ownership::Here => answer_here(world, &asked),
             Ownership::Peer { member, address } if asked.hop == Hop::Door => {
-                let order = ForwardOrder {
-                    address,
-                    peer: member,
-                    hop: Hop::ToOwner,
-                    deadline_ms: asked.deadline_ms,
-                };
-                world.emit(Effect::Verdict {
-                    ticket: asked.ticket,
-                    verdict: Verdict::Forward(order),
-                });
+                let order =
+                    ForwardOrder { address, peer: member, hop: Hop::ToOwner, deadline_ms: asked.deadline_ms };
+                world.emit(Effect::Verdict { ticket: asked.ticket, verdict: Verdict::Forward(order) });
             }
             _ => answer(world, asked.ticket, Answer::error(ErrorKind::NoHolder)),
         }
@@ -38,15 +31,8 @@
 
 fn answer_here(world: &mut World, asked: &IdentityAsked) {
     let reply = if let Some(id) = world.requests.find_identity(&asked.identity) {
-        let phase = world
-            .requests
-            .get(id)
-            .map(|request| format!("{:?}", request.phase))
-            .unwrap_or_default();
-        Answer::Report {
-            outcome: Outcome::Pending,
-            json: format!("{{\"phase\":{phase:?}}}"),
-        }
+        let phase = world.requests.get(id).map(|request| format!("{:?}", request.phase)).unwrap_or_default();
+        Answer::Report { outcome: Outcome::Pending, json: format!("{{\"phase\":{phase:?}}}") }
     } else {
         match find_record(world, &asked.identity) {
             Some(record) if asked.question != IdentityQuestion::Cancel => {
--- a/crates/cassiahoist_requests/src/retire.rs
+++ b/crates/cassiahoist_requests/src/retire.rs
@@ -16,10 +16,7 @@
         Outcome::Unknown => world.counters.requests_uncertain += 1,
         _ => {}
     }
-    world.emit(Effect::Verdict {
-        ticket,
-        verdict: Verdict::Answer(reply),
-    });
+    world.emit(Effect::Verdict { ticket, verdict: Verdict::Answer(reply) });
 }
 
 /// Ends a request that was answered; its own traffic task has the answer already.
@@ -36,13 +33,9 @@
     }
     if is_recorded(&request) {
         let body = body.unwrap_or_default();
-        let kept = (body.bytes.len() <= MAX_KEPT_ANSWER_BYTES)
-            .then(|| String::from_utf8(body.bytes).ok())
-            .flatten();
-        let state = JournalState::Answered {
-            content_type: body.content_type,
-            text: kept,
-        };
+        let kept =
+            (body.bytes.len() <= MAX_KEPT_ANSWER_BYTES).then(|| String::from_utf8(body.bytes).ok()).flatten();
+        let state = JournalState::Answered { content_type: body.content_type, text: kept };
         record_end(world, &request, state, now_ms);
     }
 }
@@ -89,11 +82,7 @@
         let Some(id) = world.requests.find_ticket(ticket) else {
             continue;
         };
-        if world
-            .requests
-            .get(id)
-            .is_some_and(|request| request.phase == RequestPhase::Queued)
-        {
+        if world.requests.get(id).is_some_and(|request| request.phase == RequestPhase::Queued) {
             refuse(world, id, ErrorKind::CancelledBeforeStart);
         }
     }
@@ -111,15 +100,7 @@
     }
     world.wake_by(wake_at_ms);
     for (id, recording) in late {
-        refuse(
-            world,
-            id,
-            if recording {
-                ErrorKind::RecordUncertain
-            } else {
-                ErrorKind::TooLate
-            },
-        );
+        refuse(world, id, if recording { ErrorKind::RecordUncertain } else { ErrorKind::TooLate });
     }
     drop_stale_entries(world);
 }
@@ -129,11 +110,7 @@
     let mut queues = std::mem::take(&mut world.requests.queues);
     let requests = &world.requests;
     for queue in queues.values_mut() {
-        queue.retain(|&id| {
-            requests
-                .get(id)
-                .is_some_and(|request| request.phase == RequestPhase::Queued)
-        });
+        queue.retain(|&id| requests.get(id).is_some_and(|request| request.phase == RequestPhase::Queued));
     }
     world.requests.queues = queues;
 }
--- a/crates/cassiahoist_requests/src/runners.rs
+++ b/crates/cassiahoist_requests/src/runners.rs
@@ -73,9 +73,5 @@
     };
     host.adoption = Adoption::Asked { term, at_ms: now_ms };
     let address = host.report.address.clone();
-    world.emit(Effect::Probe(RunnerProbe {
-        host: id,
-        address,
-        term,
-    }));
+    world.emit(Effect::Probe(RunnerProbe { host: id, address, term }));
 }
--- a/crates/cassiahoist_settings/src/lib.rs
+++ b/crates/cassiahoist_settings/src/lib.rs
@@ -188,12 +188,7 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self {
-            max_requests: 4_096,
-            max_jobs: 50_000,
-            max_job_tasks: 10_000,
-            max_body_bytes: 1 << 20,
-        }
+        Self { max_requests: 4_096, max_jobs: 50_000, max_job_tasks: 10_000, max_body_bytes: 1 << 20 }
     }
 }
 
@@ -229,36 +224,16 @@
     let (cell, timing) = (&settings.cell, &settings.timing);
     let rules = [
         (cell.fleets.is_empty(), "cell.fleets", "name at least one fleet"),
-        (
-            cell.failure_domains.is_empty(),
-            "cell.failure_domains",
-            "name at least one failure domain",
-        ),
+        (cell.failure_domains.is_empty(), "cell.failure_domains", "name at least one failure domain"),
         (
             !cell.failure_domains.contains(&settings.daemon.failure_domain),
             "daemon.failure_domain",
             "not one of cell.failure_domains",
         ),
-        (
-            cell.identity_slices == 0,
-            "cell.identity_slices",
-            "must be at least 1",
-        ),
-        (
-            settings.daemon.traffic_threads == 0,
-            "daemon.traffic_threads",
-            "must be at least 1",
-        ),
-        (
-            settings.listen.callers == settings.listen.peers,
-            "listen.peers",
-            "the same as listen.callers",
-        ),
-        (
-            timing.confirm_interval_ms == 0,
-            "timing.confirm_interval_ms",
-            "must be above 0",
-        ),
+        (cell.identity_slices == 0, "cell.identity_slices", "must be at least 1"),
+        (settings.daemon.traffic_threads == 0, "daemon.traffic_threads", "must be at least 1"),
+        (settings.listen.callers == settings.listen.peers, "listen.peers", "the same as listen.callers"),
+        (timing.confirm_interval_ms == 0, "timing.confirm_interval_ms", "must be above 0"),
         (
             timing.permission_ms < 2 * timing.confirm_interval_ms,
             "timing.permission_ms",
@@ -269,14 +244,7 @@
             "timing.task_lease_ms",
             "must be above timing.permission_ms",
         ),
-        (
-            settings.limits.max_requests == 0,
-            "limits.max_requests",
-            "must be above 0",
-        ),
+        (settings.limits.max_requests == 0, "limits.max_requests", "must be above 0"),
     ];
-    rules
-        .into_iter()
-        .find(|(broken, ..)| *broken)
-        .map(|(_, path, reason)| (path, reason))
+    rules.into_iter().find(|(broken, ..)| *broken).map(|(_, path, reason)| (path, reason))
 }
--- a/crates/cassiahoist_standins/src/backend_log.rs
+++ b/crates/cassiahoist_standins/src/backend_log.rs
@@ -54,9 +54,7 @@
     /// The file can't be opened.
     pub fn open(path: &Path) -> std::io::Result<Self> {
         let file = File::options().create(true).append(true).open(path)?;
-        Ok(Self {
-            file: Arc::new(Mutex::new(file)),
-        })
+        Ok(Self { file: Arc::new(Mutex::new(file)) })
     }
 
     /// Writes a line at once, so that a kill loses nothing.
@@ -83,17 +81,11 @@
 /// The file can't be read.
 pub fn read_log(path: &Path) -> std::io::Result<Vec<BackendLine>> {
     let text = std::fs::read_to_string(path)?;
-    Ok(text
-        .lines()
-        .filter_map(|line| serde_json::from_str(line).ok())
-        .collect())
+    Ok(text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect())
 }
 
 /// Gives the wall-clock time, in microseconds since the epoch.
 #[must_use]
 pub fn unix_us() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_micros() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
--- a/crates/cassiahoist_standins/src/caller.rs
+++ b/crates/cassiahoist_standins/src/caller.rs
@@ -64,10 +64,7 @@
         .header(IDENTITY_HEADER, &*wanted.identity.name)
         .header(TEAM_HEADER, &wanted.team)
         .header(DEADLINE_HEADER, wanted.deadline_ms)
-        .header(
-            IDEMPOTENT_HEADER,
-            if wanted.idempotent { "true" } else { "false" },
-        )
+        .header(IDEMPOTENT_HEADER, if wanted.idempotent { "true" } else { "false" })
         .body(Full::new(Bytes::from(body)));
     let limit = Duration::from_millis(wanted.deadline_ms + PATIENCE_MS);
     let response = match request {
--- a/crates/cassiahoist_standins/src/cell.rs
+++ b/crates/cassiahoist_standins/src/cell.rs
@@ -41,10 +41,7 @@
         Self {
             fleets: vec![
                 ("tokachi", vec!["obihiro", "sapporo", "asahikawa"]),
-                (
-                    "gauteng",
-                    vec!["pretoria-north", "germiston", "soweto-west", "midrand"],
-                ),
+                ("gauteng", vec!["pretoria-north", "germiston", "soweto-west", "midrand"]),
             ],
             daemons,
             runners: 4,
@@ -74,10 +71,7 @@
 
 impl CellProcess {
     fn start(name: &str, command: &mut Command) -> std::io::Result<Self> {
-        Ok(Self {
-            name: name.into(),
-            child: command.spawn()?,
-        })
+        Ok(Self { name: name.into(), child: command.spawn()? })
     }
 
     /// Sends a signal.
@@ -148,9 +142,8 @@
 
 /// Finds free ports of loopback.
 fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-        .collect::<Result<_, _>>()?;
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect::<Result<_, _>>()?;
     listeners.iter().map(TcpListener::local_addr).collect()
 }
 
@@ -164,33 +157,21 @@
     let mut hosts = Vec::new();
     for (fleet, domains) in &plan.fleets {
         let fleet = Fleet::new(fleet).map_err(name_error)?;
-        let memory_mib = if fleet.as_str() == "tokachi" {
-            131_072
-        } else {
-            65_536
-        };
+        let memory_mib = if fleet.as_str() == "tokachi" { 131_072 } else { 65_536 };
         for (word, count) in [("runner", plan.runners), ("worker", plan.workers)] {
             for index in 0..count {
                 let rack = index / plan.rack_size;
                 let role = if word == "runner" {
-                    HostRole::Runner {
-                        slots: 8,
-                        connections: 64,
-                    }
+                    HostRole::Runner { slots: 8, connections: 64 }
                 } else {
-                    HostRole::Worker {
-                        capacity: Resources::new(32_000, memory_mib, 2),
-                    }
+                    HostRole::Worker { capacity: Resources::new(32_000, memory_mib, 2) }
                 };
                 hosts.push(HostReport {
                     name: HostName::new(&fleet, &format!("{word}-{index:02}")).map_err(name_error)?,
                     role,
                     domain: FailureDomain::new(domains[rack % domains.len()]).map_err(name_error)?,
                     rack: RackName::new(&fleet, &format!("{word}-rack-{rack}")).map_err(name_error)?,
-                    address: addresses
-                        .next()
-                        .map(|address| address.to_string())
-                        .unwrap_or_default(),
+                    address: addresses.next().map(|address| address.to_string()).unwrap_or_default(),
                     leaving: false,
                 });
             }
@@ -219,10 +200,7 @@
         let stand_ins = vec![
             stand_in("store", &["--listen", &store.to_string()])?,
             stand_in("hosts", &["--listen", &host_list.to_string(), "--file", &file])?,
-            stand_in(
-                "backends",
-                &["--file", &file, "--log", &backend_log.display().to_string()],
-            )?,
+            stand_in("backends", &["--file", &file, "--log", &backend_log.display().to_string()])?,
         ];
         let mut cell = Self {
             folder: folder.into(),
@@ -249,16 +227,11 @@
         let daemon = &mut self.daemons[index];
         let yaml = serde_saphyr::to_string(&daemon.settings).map_err(name_error)?;
         std::fs::write(&daemon.file, yaml)?;
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(daemon.file.with_extension("log"))?;
+        let log =
+            std::fs::File::options().create(true).append(true).open(daemon.file.with_extension("log"))?;
         let mut command = Command::new(&self.programs.daemon);
         command.arg(&daemon.file).stderr(log).stdout(Stdio::null());
-        daemon.process = Some(CellProcess::start(
-            daemon.settings.daemon.name.as_str(),
-            &mut command,
-        )?);
+        daemon.process = Some(CellProcess::start(daemon.settings.daemon.name.as_str(), &mut command)?);
         Ok(())
     }
 
@@ -287,9 +260,7 @@
     async fn is_ready(&self) -> bool {
         let mut adopted = 0;
         for door in self.doors() {
-            let ready = get(door, "/readyz")
-                .await
-                .is_some_and(|page| page.status().is_success());
+            let ready = get(door, "/readyz").await.is_some_and(|page| page.status().is_success());
             let Some(page) = get(door, "/dump").await.filter(|_| ready) else {
                 return false;
             };
@@ -338,21 +309,14 @@
                 failure_domains: domains.clone(),
                 identity_slices: 14,
             },
-            listen: ListenSettings {
-                callers: addresses[2 * index],
-                peers: addresses[2 * index + 1],
-            },
+            listen: ListenSettings { callers: addresses[2 * index], peers: addresses[2 * index + 1] },
             platform,
             log: LogSettings::default(),
             timing: plan.timing,
             limits: LimitSettings::default(),
         };
         let file = folder.join(format!("entry-{index}.yaml"));
-        daemons.push(CellDaemon {
-            settings,
-            file,
-            process: None,
-        });
+        daemons.push(CellDaemon { settings, file, process: None });
     }
     Ok(daemons)
 }
--- a/crates/cassiahoist_standins/src/cli.rs
+++ b/crates/cassiahoist_standins/src/cli.rs
@@ -45,27 +45,13 @@
 /// Describes the command line.
 #[must_use]
 pub fn parser() -> OptionParser<StandIn> {
-    let listen = || {
-        long("listen")
-            .help("Address to listen at")
-            .argument::<SocketAddr>("ADDRESS")
-    };
+    let listen = || long("listen").help("Address to listen at").argument::<SocketAddr>("ADDRESS");
     let file = || long("file").help("Hosts as JSON").argument::<PathBuf>("FILE");
-    let log = long("log")
-        .help("Log of what was run")
-        .argument::<PathBuf>("FILE");
-    let store = construct!(StandIn::Store { listen(listen()) })
-        .to_options()
-        .command("store");
-    let hosts = construct!(StandIn::Hosts { listen(listen()), file(file()) })
-        .to_options()
-        .command("hosts");
-    let backends = construct!(StandIn::Backends { file(file()), log })
-        .to_options()
-        .command("backends");
-    construct!([store, hosts, backends])
-        .to_options()
-        .descr("Stand-ins for the platform and backend servers")
+    let log = long("log").help("Log of what was run").argument::<PathBuf>("FILE");
+    let store = construct!(StandIn::Store { listen(listen()) }).to_options().command("store");
+    let hosts = construct!(StandIn::Hosts { listen(listen()), file(file()) }).to_options().command("hosts");
+    let backends = construct!(StandIn::Backends { file(file()), log }).to_options().command("backends");
+    construct!([store, hosts, backends]).to_options().descr("Stand-ins for the platform and backend servers")
 }
 
 /// Runs a stand-in for as long as the process lives.
--- a/crates/cassiahoist_standins/src/fault.rs
+++ b/crates/cassiahoist_standins/src/fault.rs
@@ -50,11 +50,7 @@
     /// Gives the faults in force.
     #[must_use]
     pub fn get(&self) -> Fault {
-        self.state
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .0
-            .clone()
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).0.clone()
     }
 
     /// Waits out slowness and tells what becomes of a call.
--- a/crates/cassiahoist_standins/src/host_list.rs
+++ b/crates/cassiahoist_standins/src/host_list.rs
@@ -20,10 +20,7 @@
     /// Creates a list.
     #[must_use]
     pub fn new(reports: Vec<HostReport>) -> Self {
-        Self {
-            list: Mutex::new((1, reports)),
-            faults: FaultSwitch::default(),
-        }
+        Self { list: Mutex::new((1, reports)), faults: FaultSwitch::default() }
     }
 
     fn read(&self, newer_than: u64) -> WholeResponse {
--- a/crates/cassiahoist_standins/src/http.rs
+++ b/crates/cassiahoist_standins/src/http.rs
@@ -54,11 +54,7 @@
         let handler = &handler;
         async move {
             let (parts, body) = request.into_parts();
-            let bytes = body
-                .collect()
-                .await
-                .map(http_body_util::Collected::to_bytes)
-                .unwrap_or_default();
+            let bytes = body.collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
             match handler.handle(Request::from_parts(parts, bytes)).await {
                 Some(response) => Ok::<_, Infallible>(response),
                 None => std::future::pending().await,
@@ -66,27 +62,21 @@
         }
     });
     // A caller that breaks off ends its connection; there is nothing to report.
-    let _ended = hyper::server::conn::http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let _ended =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
 /// Gives an answer with a status and a body.
 #[must_use]
 pub fn reply(status: u16, body: impl Into<Bytes>) -> WholeResponse {
-    Response::builder()
-        .status(status)
-        .body(Full::new(body.into()))
-        .unwrap_or_default()
+    Response::builder().status(status).body(Full::new(body.into())).unwrap_or_default()
 }
 
 /// Finds a parameter in a query.
 #[must_use]
 pub fn query<'q>(request: &'q WholeRequest, name: &str) -> Option<&'q str> {
     let query = request.uri().query()?;
-    query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
 /// Sends one request over a connection of its own; nothing if no whole answer comes in time.
@@ -109,18 +99,14 @@
 
 /// Gets a page.
 pub async fn get(address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
-    let request = Request::get(path)
-        .header("host", address.to_string())
-        .body(Full::new(Bytes::new()))
-        .ok()?;
+    let request =
+        Request::get(path).header("host", address.to_string()).body(Full::new(Bytes::new())).ok()?;
     call(address, request, Duration::from_secs(2)).await
 }
 
 /// Posts JSON.
 pub async fn post(address: SocketAddr, path: &str, json: String) -> Option<Response<Bytes>> {
-    let request = Request::post(path)
-        .header("host", address.to_string())
-        .body(Full::new(json.into()))
-        .ok()?;
+    let request =
+        Request::post(path).header("host", address.to_string()).body(Full::new(json.into())).ok()?;
     call(address, request, Duration::from_secs(2)).await
 }
--- a/crates/cassiahoist_standins/src/programs.rs
+++ b/crates/cassiahoist_standins/src/programs.rs
@@ -11,12 +11,8 @@
 /// The build fails, or the running program is in no target folder.
 pub fn build_programs() -> std::io::Result<Programs> {
     let example = std::env::current_exe()?;
-    let examples = example
-        .parent()
-        .ok_or_else(|| std::io::Error::other("no folder of examples"))?;
-    let profile = examples
-        .parent()
-        .ok_or_else(|| std::io::Error::other("no target folder"))?;
+    let examples = example.parent().ok_or_else(|| std::io::Error::other("no folder of examples"))?;
+    let profile = examples.parent().ok_or_else(|| std::io::Error::other("no target folder"))?;
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command.args(["build", "--quiet", "--bins", "--example", "standin"]);
@@ -26,10 +22,7 @@
     if !command.status()?.success() {
         return Err(std::io::Error::other("the programs could not be built"));
     }
-    Ok(Programs {
-        daemon: profile.join("cassiahoist"),
-        stand_in: examples.join("standin"),
-    })
+    Ok(Programs { daemon: profile.join("cassiahoist"), stand_in: examples.join("standin") })
 }
 
 /// Gives a fresh folder for the files of a run.
--- a/crates/cassiahoist_standins/src/runner.rs
+++ b/crates/cassiahoist_standins/src/runner.rs
@@ -71,21 +71,13 @@
     }
 
     fn state(&self, fault: &Fault) -> WholeResponse {
-        let state = RunnerState {
-            running: self.running.load(Ordering::SeqCst),
-            leaving: fault.leaving,
-        };
+        let state = RunnerState { running: self.running.load(Ordering::SeqCst), leaving: fault.leaving };
         reply(200, serde_json::to_vec(&state).unwrap_or_default())
     }
 
     async fn run(&self, request: &WholeRequest, fault: &Fault) -> WholeResponse {
-        let header = |name: &str| {
-            request
-                .headers()
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-                .unwrap_or("")
-        };
+        let header =
+            |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
         let identity = header(IDENTITY_HEADER).to_owned();
         let attempt = header(ATTEMPT_HEADER).to_owned();
         let name = &self.report.name;
@@ -93,39 +85,24 @@
             self.running.fetch_sub(1, Ordering::SeqCst);
             self.log.write(name, BackendEvent::Overfull, &identity, &attempt);
             let mut response = reply(503, "");
-            response
-                .headers_mut()
-                .insert(NOT_RUN_HEADER, hyper::header::HeaderValue::from_static("true"));
+            response.headers_mut().insert(NOT_RUN_HEADER, hyper::header::HeaderValue::from_static("true"));
             return response;
         }
         self.log.write(name, BackendEvent::Started, &identity, &attempt);
-        *self
-            .open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .entry(identity.clone())
-            .or_default() += 1;
+        *self.open.lock().unwrap_or_else(PoisonError::into_inner).entry(identity.clone()).or_default() += 1;
         let task: RunnerTask = serde_json::from_slice(request.body()).unwrap_or_default();
         tokio::time::sleep(Duration::from_millis(task.run_ms)).await;
-        self.open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&identity);
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&identity);
         self.log.write(name, BackendEvent::Ended, &identity, &attempt);
         self.running.fetch_sub(1, Ordering::SeqCst);
         if task.fail || fault.fail_all {
             return reply(500, "failed");
         }
-        let answer = RunnerAnswer {
-            identity,
-            note: task.note,
-            runner: name.to_string(),
-        };
+        let answer = RunnerAnswer { identity, note: task.note, runner: name.to_string() };
         let mut response = reply(200, serde_json::to_vec(&answer).unwrap_or_default());
-        response.headers_mut().insert(
-            "content-type",
-            hyper::header::HeaderValue::from_static("application/json"),
-        );
+        response
+            .headers_mut()
+            .insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
         response
     }
 }
@@ -151,18 +128,13 @@
             }
             _ => reply(404, ""),
         };
-        if play == Play::LoseAnswer {
-            None
-        } else {
-            Some(response)
-        }
+        if play == Play::LoseAnswer { None } else { Some(response) }
     }
 
     fn accepts(&self, open: u32) -> bool {
         let accepted = open < self.connections;
         if !accepted {
-            self.log
-                .write(&self.report.name, BackendEvent::TooManyConnections, "", "");
+            self.log.write(&self.report.name, BackendEvent::TooManyConnections, "", "");
         }
         accepted
     }
--- a/crates/cassiahoist_standins/src/store.rs
+++ b/crates/cassiahoist_standins/src/store.rs
@@ -76,14 +76,7 @@
             return reply(413, "");
         }
         let version = self.touch(key);
-        self.entries.insert(
-            key.into(),
-            Entry {
-                version,
-                value,
-                expires: None,
-            },
-        );
+        self.entries.insert(key.into(), Entry { version, value, expires: None });
         versioned(version, Bytes::new())
     }
 
@@ -93,14 +86,7 @@
             return reply(200, "");
         }
         let version = self.touch(key);
-        self.entries.insert(
-            key.into(),
-            Entry {
-                version,
-                value,
-                expires: Some(expires),
-            },
-        );
+        self.entries.insert(key.into(), Entry { version, value, expires: Some(expires) });
         reply(200, "")
     }
 
@@ -110,25 +96,14 @@
         if newer_than >= version && newer_than > 0 {
             return reply(304, "");
         }
-        let below = self
-            .entries
-            .range(prefix.to_owned()..)
-            .take_while(|(key, _)| key.starts_with(prefix));
-        let values = below
-            .map(|(_, entry)| String::from_utf8_lossy(&entry.value).into_owned())
-            .collect();
-        reply(
-            200,
-            serde_json::to_vec(&Listing { version, values }).unwrap_or_default(),
-        )
+        let below = self.entries.range(prefix.to_owned()..).take_while(|(key, _)| key.starts_with(prefix));
+        let values = below.map(|(_, entry)| String::from_utf8_lossy(&entry.value).into_owned()).collect();
+        reply(200, serde_json::to_vec(&Listing { version, values }).unwrap_or_default())
     }
 
     fn answer(&mut self, request: &WholeRequest) -> WholeResponse {
-        let number = |name: &str| {
-            query(request, name)
-                .and_then(|text| text.parse::<u64>().ok())
-                .unwrap_or_default()
-        };
+        let number =
+            |name: &str| query(request, name).and_then(|text| text.parse::<u64>().ok()).unwrap_or_default();
         let path = request.uri().path();
         if *request.method() == Method::GET {
             self.reads += 1;
@@ -192,10 +167,6 @@
             contents.expire(Instant::now());
             contents.answer(&request)
         };
-        if play == Play::LoseAnswer {
-            None
-        } else {
-            Some(response)
-        }
+        if play == Play::LoseAnswer { None } else { Some(response) }
     }
 }
--- a/crates/cassiahoist_standins/src/verdict.rs
+++ b/crates/cassiahoist_standins/src/verdict.rs
@@ -30,10 +30,7 @@
 #[must_use]
 pub fn judge_requests(records: &[CallerRecord], lines: &[BackendLine]) -> Tally {
     let starts = count_starts(lines);
-    let mut tally = Tally {
-        overfull: count_overfull(lines),
-        ..Tally::default()
-    };
+    let mut tally = Tally { overfull: count_overfull(lines), ..Tally::default() };
     for record in records {
         tally.sent += 1;
         let runs = starts.get(record.identity.as_str()).copied().unwrap_or_default();
@@ -59,12 +56,8 @@
 }
 
 fn count_overfull(lines: &[BackendLine]) -> u64 {
-    let overfull = |line: &&BackendLine| {
-        matches!(
-            line.event,
-            BackendEvent::Overfull | BackendEvent::TooManyConnections
-        )
-    };
+    let overfull =
+        |line: &&BackendLine| matches!(line.event, BackendEvent::Overfull | BackendEvent::TooManyConnections);
     lines.iter().filter(overfull).count() as u64
 }
 
--- a/crates/cassiahoist_standins/src/worker.rs
+++ b/crates/cassiahoist_standins/src/worker.rs
@@ -93,32 +93,15 @@
             return;
         };
         let ran_ms = now.duration_since(row.since).as_millis() as u64;
-        self.log.write(
-            &self.report.name,
-            BackendEvent::Ended,
-            &name.to_string(),
-            &format!("{exit:?}"),
-        );
-        state.finished.insert(
-            name.clone(),
-            FinishedTask {
-                task: name.clone(),
-                exit,
-                ran_ms,
-            },
-        );
+        self.log.write(&self.report.name, BackendEvent::Ended, &name.to_string(), &format!("{exit:?}"));
+        state.finished.insert(name.clone(), FinishedTask { task: name.clone(), exit, ran_ms });
     }
 
     fn sync(&self, command: WorkerCommandBody, now: Instant) -> WorkerReport {
         self.advance(now);
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if command.term < state.term {
-            self.log.write(
-                &self.report.name,
-                BackendEvent::LowTerm,
-                "",
-                &command.term.to_string(),
-            );
+            self.log.write(&self.report.name, BackendEvent::LowTerm, "", &command.term.to_string());
             return self.report_of(&state, now);
         }
         state.term = command.term;
@@ -140,28 +123,14 @@
             return;
         }
         let name = order.task.to_string();
-        let used = state
-            .running
-            .values()
-            .fold(Resources::default(), |sum, row| sum.plus(&row.order.size));
+        let used = state.running.values().fold(Resources::default(), |sum, row| sum.plus(&row.order.size));
         if !order.size.fits_within(&self.capacity.minus(&used)) {
-            self.log
-                .write(&self.report.name, BackendEvent::Overfull, &name, "");
+            self.log.write(&self.report.name, BackendEvent::Overfull, &name, "");
         }
-        self.log
-            .write(&self.report.name, BackendEvent::Started, &name, "");
-        let run_ms = argument(&order, "run_ms")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(DEFAULT_RUN_MS);
+        self.log.write(&self.report.name, BackendEvent::Started, &name, "");
+        let run_ms = argument(&order, "run_ms").and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_RUN_MS);
         let ends = now + Duration::from_millis(run_ms);
-        state.running.insert(
-            order.task.clone(),
-            RunningRow {
-                order,
-                since: now,
-                ends,
-            },
-        );
+        state.running.insert(order.task.clone(), RunningRow { order, since: now, ends });
     }
 
     fn report_of(&self, state: &WorkerState, now: Instant) -> WorkerReport {
@@ -182,10 +151,7 @@
 
 /// Finds `name=value` in a task's argument.
 fn argument<'o>(order: &'o TaskOrder, name: &str) -> Option<&'o str> {
-    order
-        .argument
-        .split(',')
-        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    order.argument.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
 impl Handler for std::sync::Arc<WorkerStandIn> {
--- a/crates/cassiahoist_telemetry/src/log.rs
+++ b/crates/cassiahoist_telemetry/src/log.rs
@@ -35,9 +35,7 @@
             }
         };
         let drain = drain.filter_level(level).fuse();
-        Self {
-            logger: Logger::root(drain, o!("daemon" => daemon.to_string())),
-        }
+        Self { logger: Logger::root(drain, o!("daemon" => daemon.to_string())) }
     }
 
     /// Writes an event.
@@ -46,16 +44,16 @@
         let logger = &self.logger;
         match event.severity() {
             Severity::Debug => {
-                slog::debug!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail)
+                slog::debug!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail);
             }
             Severity::Info => {
-                slog::info!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail)
+                slog::info!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail);
             }
             Severity::Warning => {
-                slog::warn!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail)
+                slog::warn!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail);
             }
             Severity::Error => {
-                slog::error!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail)
+                slog::error!(logger, "{}", text; "event" => number, "name" => name, "detail" => detail);
             }
         }
     }
--- a/crates/cassiahoist_telemetry/src/metrics.rs
+++ b/crates/cassiahoist_telemetry/src/metrics.rs
@@ -34,13 +34,11 @@
         let cell = Arc::new(AtomicU64::new(0));
         let read = Arc::clone(&cell);
         let meter = self.provider.meter("cassiahoist");
-        drop(
-            meter
-                .u64_observable_counter(name)
-                .with_description(text)
-                .with_callback(move |observer| observer.observe(read.load(Ordering::Relaxed), &[]))
-                .build(),
-        );
+        let _registered = meter
+            .u64_observable_counter(name)
+            .with_description(text)
+            .with_callback(move |observer| observer.observe(read.load(Ordering::Relaxed), &[]))
+            .build();
         cell
     }
 
@@ -50,21 +48,17 @@
         let cell = Arc::new(AtomicU64::new(0));
         let read = Arc::clone(&cell);
         let meter = self.provider.meter("cassiahoist");
-        drop(
-            meter
-                .u64_observable_gauge(name)
-                .with_description(text)
-                .with_callback(move |observer| observer.observe(read.load(Ordering::Relaxed), &[]))
-                .build(),
-        );
+        let _registered = meter
+            .u64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |observer| observer.observe(read.load(Ordering::Relaxed), &[]))
+            .build();
         cell
     }
 
     /// Gives all metrics in the Prometheus text form.
     #[must_use]
     pub fn scrape(&self) -> String {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
--- a/crates/cassiahoist_traffic/src/carry_out.rs
+++ b/crates/cassiahoist_traffic/src/carry_out.rs
@@ -36,6 +36,7 @@
 
 impl Dispatcher {
     /// Carries out one effect without waiting for it.
+    #[must_use]
     pub fn carry_out(&self, effect: Effect) -> Flow {
         let _runtime = self.runtime.enter();
         match effect {
--- a/crates/cassiahoist_traffic/src/clock.rs
+++ b/crates/cassiahoist_traffic/src/clock.rs
@@ -15,9 +15,7 @@
     /// Starts the clock.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Gives the present time, in monotonic milliseconds.
--- a/crates/cassiahoist_traffic/src/control_link.rs
+++ b/crates/cassiahoist_traffic/src/control_link.rs
@@ -65,11 +65,7 @@
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        let mut waiting = self
-            .tickets
-            .waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut waiting = self.tickets.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         waiting.remove(&self.ticket);
     }
 }
@@ -78,10 +74,7 @@
     /// Creates a link over the control thread's bounded queue.
     #[must_use]
     pub fn new(sender: SyncSender<ControlInput>) -> Self {
-        Self {
-            sender,
-            tickets: Arc::default(),
-        }
+        Self { sender, tickets: Arc::default() }
     }
 
     /// Sends an event; tells whether the queue had room.
@@ -111,25 +104,13 @@
     pub fn wait(&self) -> Waiting {
         let ticket = self.tickets.next.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, verdicts) = mpsc::unbounded_channel();
-        self.tickets
-            .waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(ticket, sender);
-        Waiting {
-            ticket,
-            verdicts,
-            tickets: Arc::clone(&self.tickets),
-        }
+        self.tickets.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(ticket, sender);
+        Waiting { ticket, verdicts, tickets: Arc::clone(&self.tickets) }
     }
 
     /// Passes a verdict to the traffic task that waits for it.
     pub fn pass_verdict(&self, ticket: Ticket, verdict: Verdict) {
-        let waiting = self
-            .tickets
-            .waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let waiting = self.tickets.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(sender) = waiting.get(&ticket) {
             // A task that ended no longer wants its verdict.
             let _gone = sender.send(verdict);
--- a/crates/cassiahoist_traffic/src/door.rs
+++ b/crates/cassiahoist_traffic/src/door.rs
@@ -52,10 +52,7 @@
 
 impl Refusal {
     fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self {
-            kind,
-            detail: detail.into(),
-        }
+        Self { kind, detail: detail.into() }
     }
 }
 
@@ -92,14 +89,9 @@
             Ok(work) => {
                 // A task of its own, so that a caller that breaks off can't cut a run short.
                 let serving = tokio::spawn(serve_work(self.work.clone(), work));
-                serving
-                    .await
-                    .unwrap_or_else(|_panicked| Answer::error(ErrorKind::AnswerLost))
+                serving.await.unwrap_or_else(|_panicked| Answer::error(ErrorKind::AnswerLost))
             }
-            Err(refusal) => Answer::Error {
-                kind: refusal.kind,
-                detail: refusal.detail,
-            },
+            Err(refusal) => Answer::Error { kind: refusal.kind, detail: refusal.detail },
         };
         encode(answer)
     }
@@ -107,17 +99,14 @@
     async fn read(&self, request: Request<Incoming>) -> Result<Forwarded, Refusal> {
         let (parts, body) = request.into_parts();
         let route = route(&parts.method, parts.uri.path())?;
-        let body = Limited::new(body, self.max_body_bytes)
-            .collect()
-            .await
-            .map_err(|error| {
-                let kind = if error.is::<http_body_util::LengthLimitError>() {
-                    ErrorKind::BodyTooLarge
-                } else {
-                    ErrorKind::BadRequest
-                };
-                Refusal::new(kind, error.to_string())
-            })?;
+        let body = Limited::new(body, self.max_body_bytes).collect().await.map_err(|error| {
+            let kind = if error.is::<http_body_util::LengthLimitError>() {
+                ErrorKind::BodyTooLarge
+            } else {
+                ErrorKind::BadRequest
+            };
+            Refusal::new(kind, error.to_string())
+        })?;
         work_of(route, &parts.headers, &body.to_bytes())
     }
 }
@@ -125,17 +114,9 @@
 /// What a path asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Route {
-    Request {
-        fleet: Fleet,
-        kind: WorkKind,
-    },
-    Job {
-        fleet: Fleet,
-    },
-    Question {
-        identity: RequestIdentity,
-        question: IdentityQuestion,
-    },
+    Request { fleet: Fleet, kind: WorkKind },
+    Job { fleet: Fleet },
+    Question { identity: RequestIdentity, question: IdentityQuestion },
 }
 
 fn route(method: &Method, path: &str) -> Result<Route, Refusal> {
@@ -154,10 +135,9 @@
         Ok(Route::Question { identity, question })
     };
     match (method, rest) {
-        (&Method::POST, ["requests", kind]) => Ok(Route::Request {
-            kind: WorkKind::new(kind).map_err(bad)?,
-            fleet: fleet.clone(),
-        }),
+        (&Method::POST, ["requests", kind]) => {
+            Ok(Route::Request { kind: WorkKind::new(kind).map_err(bad)?, fleet: fleet.clone() })
+        }
         (&Method::POST, ["jobs"]) => Ok(Route::Job { fleet: fleet.clone() }),
         (&Method::GET, ["work", key]) => question(IdentityQuestion::Lookup, key),
         (&Method::DELETE, ["work", key]) => question(IdentityQuestion::Cancel, key),
@@ -191,29 +171,13 @@
                 None | Some("false") => false,
                 Some("true") => true,
                 Some(other) => {
-                    return Err(Refusal::new(
-                        ErrorKind::BadRequest,
-                        format!("{IDEMPOTENT_HEADER}: {other}"),
-                    ));
+                    return Err(Refusal::new(ErrorKind::BadRequest, format!("{IDEMPOTENT_HEADER}: {other}")));
                 }
             };
-            (
-                identity,
-                ForwardedWork::Request {
-                    team,
-                    kind,
-                    idempotent,
-                    body: body.to_vec(),
-                },
-            )
+            (identity, ForwardedWork::Request { team, kind, idempotent, body: body.to_vec() })
         }
     };
-    Ok(Forwarded {
-        identity,
-        hop: Hop::Door,
-        left_ms,
-        work,
-    })
+    Ok(Forwarded { identity, hop: Hop::Door, left_ms, work })
 }
 
 fn identity_of(fleet: &Fleet, headers: &HeaderMap) -> Result<RequestIdentity, Refusal> {
@@ -241,11 +205,6 @@
             (kind.answer_row().status, "application/json".into(), body)
         }
     };
-    let reply = Response::builder()
-        .status(status)
-        .header("content-type", content_type);
-    reply
-        .header(OUTCOME_HEADER, outcome)
-        .body(Full::new(bytes.into()))
-        .unwrap_or_default()
+    let reply = Response::builder().status(status).header("content-type", content_type);
+    reply.header(OUTCOME_HEADER, outcome).body(Full::new(bytes.into())).unwrap_or_default()
 }
--- a/crates/cassiahoist_traffic/src/host_list.rs
+++ b/crates/cassiahoist_traffic/src/host_list.rs
@@ -40,12 +40,6 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    let newer = response
-        .headers()
-        .get(VERSION_HEADER)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()?;
+    let newer = response.headers().get(VERSION_HEADER)?.to_str().ok()?.parse().ok()?;
     Some((newer, serde_json::from_slice(response.body()).ok()?))
 }
--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -88,11 +88,7 @@
     }
 
     fn pop_idle(&self, address: &str) -> Option<Connection> {
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get_mut(address)?
-            .pop()
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).get_mut(address)?.pop()
     }
 
     fn put_back(&self, address: &str, connection: Connection) {
@@ -105,10 +101,7 @@
 }
 
 async fn connect(address: &str) -> Option<Connection> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .ok()?
-        .ok()?;
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     drop(tokio::spawn(connection));
--- a/crates/cassiahoist_traffic/src/operators.rs
+++ b/crates/cassiahoist_traffic/src/operators.rs
@@ -43,8 +43,6 @@
 }
 
 fn page(status: u16, content_type: &str, text: String) -> Response<Full<Bytes>> {
-    let reply = Response::builder()
-        .status(status)
-        .header("content-type", content_type);
+    let reply = Response::builder().status(status).header("content-type", content_type);
     reply.body(Full::new(text.into())).unwrap_or_default()
 }
--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -43,10 +43,7 @@
     /// Creates links that send as `own`.
     #[must_use]
     pub fn new(own: Incarnation) -> Self {
-        Self {
-            own,
-            links: Arc::default(),
-        }
+        Self { own, links: Arc::default() }
     }
 
     /// Sends a one-way message; it may be dropped.
@@ -86,11 +83,7 @@
             .keep_alive_while_idle(true);
         let client = PeerClient::new(endpoint.connect_lazy());
         let (outgoing, messages) = mpsc::channel(MAX_WAITING_MESSAGES);
-        drop(tokio::spawn(deliver_messages(
-            client.clone(),
-            self.own.clone(),
-            messages,
-        )));
+        drop(tokio::spawn(deliver_messages(client.clone(), self.own.clone(), messages)));
         let link = Link { client, outgoing };
         links.insert(address.into(), link.clone());
         Some(link)
--- a/crates/cassiahoist_traffic/src/peer_server.rs
+++ b/crates/cassiahoist_traffic/src/peer_server.rs
@@ -33,10 +33,8 @@
     pub async fn serve(self, listener: TcpListener) -> Result<(), HoistError> {
         let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let server = PeerServer::new(self).max_decoding_message_size(MAX_MESSAGE_BYTES);
-        let served = tonic::transport::Server::builder()
-            .add_service(server)
-            .serve_with_incoming(incoming)
-            .await;
+        let served =
+            tonic::transport::Server::builder().add_service(server).serve_with_incoming(incoming).await;
         served.map_err(|error| HoistError::Unreachable(error.to_string()))
     }
 }
@@ -55,25 +53,16 @@
         let from = decode_incarnation(request.from.as_ref()).map_err(|error| invalid(&error))?;
         for message in &request.messages {
             let message = decode_message(message).map_err(|error| invalid(&error))?;
-            self.context.control.send(Event::Peer {
-                from: from.clone(),
-                message,
-            });
+            self.context.control.send(Event::Peer { from: from.clone(), message });
         }
-        Ok(Response::new(DeliverReply {
-            receiver: Some(encode_incarnation(&self.own)),
-        }))
+        Ok(Response::new(DeliverReply { receiver: Some(encode_incarnation(&self.own)) }))
     }
 
     async fn forward(&self, request: Request<ForwardRequest>) -> Result<Response<ForwardReply>, Status> {
         let work = decode_forwarded(request.into_inner()).map_err(|error| invalid(&error))?;
         // A task of its own, so that the work goes on if the forwarding peer breaks off.
         let serving = tokio::spawn(serve_work(self.context.clone(), work));
-        let answer = serving
-            .await
-            .map_err(|error| Status::internal(error.to_string()))?;
-        encode_answer(answer)
-            .map(Response::new)
-            .map_err(|error| invalid(&error))
+        let answer = serving.await.map_err(|error| Status::internal(error.to_string()))?;
+        encode_answer(answer).map(Response::new).map_err(|error| invalid(&error))
     }
 }
--- a/crates/cassiahoist_traffic/src/work.rs
+++ b/crates/cassiahoist_traffic/src/work.rs
@@ -56,12 +56,7 @@
 fn arrival(ticket: Ticket, work: &Forwarded, deadline_ms: u64) -> Event {
     let identity = work.identity.clone();
     match &work.work {
-        ForwardedWork::Request {
-            team,
-            kind,
-            idempotent,
-            body,
-        } => Event::Request(RequestArrived {
+        ForwardedWork::Request { team, kind, idempotent, body } => Event::Request(RequestArrived {
             ticket,
             spec: RequestSpec {
                 identity,
@@ -73,12 +68,9 @@
             },
             hop: work.hop,
         }),
-        ForwardedWork::Job(spec) => Event::Job(JobArrived {
-            ticket,
-            spec: spec.as_ref().clone(),
-            hop: work.hop,
-            deadline_ms,
-        }),
+        ForwardedWork::Job(spec) => {
+            Event::Job(JobArrived { ticket, spec: spec.as_ref().clone(), hop: work.hop, deadline_ms })
+        }
         ForwardedWork::Question(question) => Event::Identity(IdentityAsked {
             ticket,
             identity,
@@ -98,16 +90,10 @@
         None => (RunEnd::NotSent, None),
         Some(request) => {
             let now_ms = context.clock.now_ms();
-            let limit_ms = order
-                .deadline_ms
-                .saturating_sub(now_ms)
-                .min(order.silence_limit_ms);
+            let limit_ms = order.deadline_ms.saturating_sub(now_ms).min(order.silence_limit_ms);
             let limit = Duration::from_millis(limit_ms);
             let may_send = || order.permit.is_fresh(context.clock.now_ms());
-            let exchange = context
-                .runners
-                .exchange(&order.address, request, limit, may_send)
-                .await;
+            let exchange = context.runners.exchange(&order.address, request, limit, may_send).await;
             judge(exchange, order.wants_body)
         }
     };
@@ -146,18 +132,12 @@
     if !response.status().is_success() {
         return (RunEnd::Failed, None);
     }
-    let content_type = response
-        .headers()
-        .get("content-type")
-        .and_then(|value| value.to_str().ok());
+    let content_type = response.headers().get("content-type").and_then(|value| value.to_str().ok());
     let body = AnswerBody {
         content_type: content_type.unwrap_or("application/octet-stream").into(),
         bytes: response.body().to_vec(),
     };
-    (
-        RunEnd::Answered(wants_body.then(|| body.clone())),
-        Some(Answer::Whole(body)),
-    )
+    (RunEnd::Answered(wants_body.then(|| body.clone())), Some(Answer::Whole(body)))
 }
 
 /// Forwards work to a peer; gives the answer if this ends the work.
@@ -168,11 +148,7 @@
     order: &ForwardOrder,
 ) -> Option<Answer> {
     let left_ms = order.deadline_ms.saturating_sub(context.clock.now_ms());
-    let forwarded = Forwarded {
-        hop: order.hop,
-        left_ms,
-        ..work.clone()
-    };
+    let forwarded = Forwarded { hop: order.hop, left_ms, ..work.clone() };
     let result = context.peers.forward(&order.address, forwarded).await;
     let is_request = matches!(work.work, ForwardedWork::Request { .. });
     let (end, answer) = match result {
--- a/crates/cassiahoist_traffic/src/worker_client.rs
+++ b/crates/cassiahoist_traffic/src/worker_client.rs
@@ -30,11 +30,7 @@
     /// Creates a client.
     #[must_use]
     pub fn new(clock: MonotonicClock, control: ControlLink) -> Self {
-        Self {
-            clock,
-            client: HttpClient::new(),
-            control,
-        }
+        Self { clock, client: HttpClient::new(), control }
     }
 
     /// Sends a command in a task of its own and reports the answer to control.
@@ -44,20 +40,14 @@
             let started_ms = this.clock.now_ms();
             let report = this.send_command(&command).await;
             let term = command.permit.term;
-            this.control.send(Event::Worker(WorkerAnswered {
-                host: command.host,
-                term,
-                started_ms,
-                report,
-            }));
+            this.control.send(Event::Worker(WorkerAnswered { host: command.host, term, started_ms, report }));
         }));
     }
 
     async fn send_command(&self, command: &WorkerCommand) -> Option<WorkerReport> {
         let body = serde_json::to_vec(&command.body).ok()?;
         let may_send = || command.permit.is_fresh(self.clock.now_ms());
-        self.exchange(&command.address, Method::POST, "/sync", body, may_send)
-            .await
+        self.exchange(&command.address, Method::POST, "/sync", body, may_send).await
     }
 
     /// Asks a runner in a task of its own and reports the answer to control.
@@ -65,9 +55,8 @@
         let this = self.clone();
         drop(tokio::spawn(async move {
             let started_ms = this.clock.now_ms();
-            let state: Option<RunnerState> = this
-                .exchange(&probe.address, Method::GET, "/state", Vec::new(), || true)
-                .await;
+            let state: Option<RunnerState> =
+                this.exchange(&probe.address, Method::GET, "/state", Vec::new(), || true).await;
             this.control.send(Event::Runner(RunnerProbed {
                 host: probe.host,
                 term: probe.term,
@@ -85,16 +74,9 @@
         body: Vec<u8>,
         may_send: impl Fn() -> bool,
     ) -> Option<T> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", address);
+        let request = Request::builder().method(method).uri(path).header("host", address);
         let request = request.body(Full::new(Bytes::from(body))).ok()?;
-        match self
-            .client
-            .exchange(address, request, ANSWER_TIMEOUT, may_send)
-            .await
-        {
+        match self.client.exchange(address, request, ANSWER_TIMEOUT, may_send).await {
             Exchange::Answered(response) if response.status().is_success() => {
                 serde_json::from_slice(response.body()).ok()
             }
--- a/crates/cassiahoist_wire/src/callers.rs
+++ b/crates/cassiahoist_wire/src/callers.rs
@@ -90,17 +90,8 @@
     #[must_use]
     pub fn new(kind: ErrorKind, detail: &str) -> Self {
         let row = kind.answer_row();
-        let message = if detail.is_empty() {
-            row.text.into()
-        } else {
-            format!("{}: {detail}", row.text)
-        };
-        Self {
-            error: kind,
-            outcome: row.outcome,
-            retryable: row.retryable,
-            message,
-        }
+        let message = if detail.is_empty() { row.text.into() } else { format!("{}: {detail}", row.text) };
+        Self { error: kind, outcome: row.outcome, retryable: row.retryable, message }
     }
 }
 
@@ -119,13 +110,7 @@
 /// Reads the word of the outcome header.
 #[must_use]
 pub fn parse_outcome(word: &str) -> Option<Outcome> {
-    [
-        Outcome::Answered,
-        Outcome::Pending,
-        Outcome::Failed,
-        Outcome::NotRun,
-        Outcome::Unknown,
-    ]
-    .into_iter()
-    .find(|&outcome| outcome_word(outcome) == word)
+    [Outcome::Answered, Outcome::Pending, Outcome::Failed, Outcome::NotRun, Outcome::Unknown]
+        .into_iter()
+        .find(|&outcome| outcome_word(outcome) == word)
 }
--- a/crates/cassiahoist_wire/src/forward.rs
+++ b/crates/cassiahoist_wire/src/forward.rs
@@ -42,21 +42,13 @@
     pub work: ForwardedWork,
 }
 
-const QUESTIONS: [IdentityQuestion; 3] = [
-    IdentityQuestion::Lookup,
-    IdentityQuestion::Cancel,
-    IdentityQuestion::Explain,
-];
+const QUESTIONS: [IdentityQuestion; 3] =
+    [IdentityQuestion::Lookup, IdentityQuestion::Cancel, IdentityQuestion::Explain];
 
-const OUTCOMES: [Outcome; 5] = [
-    Outcome::Answered,
-    Outcome::Pending,
-    Outcome::Failed,
-    Outcome::NotRun,
-    Outcome::Unknown,
-];
+const OUTCOMES: [Outcome; 5] =
+    [Outcome::Answered, Outcome::Pending, Outcome::Failed, Outcome::NotRun, Outcome::Unknown];
 
-fn bad(error: impl ToString) -> HoistError {
+fn bad(error: impl std::fmt::Display) -> HoistError {
     HoistError::BadMessage(error.to_string())
 }
 
@@ -72,12 +64,7 @@
         ..proto::ForwardRequest::default()
     };
     request.work = Some(match forwarded.work {
-        ForwardedWork::Request {
-            team,
-            kind,
-            idempotent,
-            body,
-        } => {
+        ForwardedWork::Request { team, kind, idempotent, body } => {
             request.team = team.to_string();
             request.kind = kind.to_string();
             request.idempotent = idempotent;
@@ -106,23 +93,12 @@
         },
         ProtoWork::JobJson(json) => ForwardedWork::Job(serde_json::from_slice(&json).map_err(bad)?),
         ProtoWork::Question(number) => {
-            let question = QUESTIONS
-                .get(number as usize)
-                .ok_or_else(|| bad("unknown question"))?;
+            let question = QUESTIONS.get(number as usize).ok_or_else(|| bad("unknown question"))?;
             ForwardedWork::Question(*question)
         }
     };
-    let hop = if request.to_owner {
-        Hop::ToOwner
-    } else {
-        Hop::ToRunnerHolder
-    };
-    Ok(Forwarded {
-        identity: request.identity.parse()?,
-        hop,
-        left_ms: request.left_ms,
-        work,
-    })
+    let hop = if request.to_owner { Hop::ToOwner } else { Hop::ToRunnerHolder };
+    Ok(Forwarded { identity: request.identity.parse()?, hop, left_ms: request.left_ms, work })
 }
 
 /// Encodes the answer to forwarded work.
@@ -131,16 +107,12 @@
 /// [`HoistError::BadMessage`] if the error kind can't be encoded.
 pub fn encode_answer(answer: Answer) -> Result<proto::ForwardReply, HoistError> {
     let answer = match answer {
-        Answer::Whole(body) => ProtoAnswer::Whole(proto::Whole {
-            content_type: body.content_type,
-            body: body.bytes,
-        }),
+        Answer::Whole(body) => {
+            ProtoAnswer::Whole(proto::Whole { content_type: body.content_type, body: body.bytes })
+        }
         Answer::Report { outcome, json } => {
             let number = OUTCOMES.iter().position(|&other| other == outcome);
-            ProtoAnswer::Report(proto::Report {
-                outcome: number.unwrap_or_default() as u32,
-                json,
-            })
+            ProtoAnswer::Report(proto::Report { outcome: number.unwrap_or_default() as u32, json })
         }
         Answer::Error { kind, detail } => ProtoAnswer::Error(proto::ErrorAnswer {
             kind: serde_json::to_string(&kind).map_err(bad)?,
@@ -156,22 +128,15 @@
 /// [`HoistError::BadMessage`] if it is missing or malformed.
 pub fn decode_answer(reply: proto::ForwardReply) -> Result<Answer, HoistError> {
     Ok(match reply.answer.ok_or_else(|| bad("reply without answer"))? {
-        ProtoAnswer::Whole(whole) => Answer::Whole(AnswerBody {
-            content_type: whole.content_type,
-            bytes: whole.body,
-        }),
+        ProtoAnswer::Whole(whole) => {
+            Answer::Whole(AnswerBody { content_type: whole.content_type, bytes: whole.body })
+        }
         ProtoAnswer::Report(report) => {
-            let outcome = OUTCOMES
-                .get(report.outcome as usize)
-                .ok_or_else(|| bad("unknown outcome"))?;
-            Answer::Report {
-                outcome: *outcome,
-                json: report.json,
-            }
+            let outcome = OUTCOMES.get(report.outcome as usize).ok_or_else(|| bad("unknown outcome"))?;
+            Answer::Report { outcome: *outcome, json: report.json }
+        }
+        ProtoAnswer::Error(error) => {
+            Answer::Error { kind: serde_json::from_str(&error.kind).map_err(bad)?, detail: error.detail }
         }
-        ProtoAnswer::Error(error) => Answer::Error {
-            kind: serde_json::from_str(&error.kind).map_err(bad)?,
-            detail: error.detail,
-        },
     })
 }
--- a/crates/cassiahoist_wire/src/peer_messages.rs
+++ b/crates/cassiahoist_wire/src/peer_messages.rs
@@ -19,10 +19,7 @@
 /// Encodes an incarnation.
 #[must_use]
 pub fn encode_incarnation(incarnation: &Incarnation) -> proto::Incarnation {
-    proto::Incarnation {
-        member: incarnation.member.to_string(),
-        number: incarnation.number,
-    }
+    proto::Incarnation { member: incarnation.member.to_string(), number: incarnation.number }
 }
 
 /// Decodes an incarnation.
@@ -31,10 +28,7 @@
 /// [`HoistError`] if it is missing or its name is bad.
 pub fn decode_incarnation(incarnation: Option<&proto::Incarnation>) -> Result<Incarnation, HoistError> {
     let incarnation = incarnation.ok_or_else(|| bad("incarnation"))?;
-    Ok(Incarnation {
-        member: incarnation.member.parse()?,
-        number: incarnation.number,
-    })
+    Ok(Incarnation { member: incarnation.member.parse()?, number: incarnation.number })
 }
 
 /// Encodes a message.
@@ -44,25 +38,21 @@
         PeerMessage::Gossip(gossip) => Kind::Gossip(encode_gossip(gossip)),
         PeerMessage::AskConfirmation(ask) => Kind::AskConfirmation(proto::AskConfirmation {
             asked_ms: ask.asked_ms,
-            slices: ask
-                .slices
-                .iter()
-                .map(|(slice, term)| encode_term(slice, *term))
-                .collect(),
+            slices: ask.slices.iter().map(|(slice, term)| encode_term(slice, *term)).collect(),
         }),
         PeerMessage::Confirmation(confirmation) => Kind::Confirmation(proto::Confirmation {
             asked_ms: confirmation.asked_ms,
             slices: confirmation.slices.iter().map(encode_confirmation).collect(),
         }),
-        PeerMessage::PlaceTasks(orders) => Kind::PlaceTasks(proto::PlaceTasks {
-            orders: orders.iter().map(encode_order).collect(),
-        }),
-        PeerMessage::TaskNews(news) => Kind::TaskNews(proto::TaskNewsBatch {
-            news: news.iter().map(encode_news).collect(),
-        }),
-        PeerMessage::CancelTasks(tasks) => Kind::CancelTasks(proto::CancelTasks {
-            tasks: tasks.iter().map(ToString::to_string).collect(),
-        }),
+        PeerMessage::PlaceTasks(orders) => {
+            Kind::PlaceTasks(proto::PlaceTasks { orders: orders.iter().map(encode_order).collect() })
+        }
+        PeerMessage::TaskNews(news) => {
+            Kind::TaskNews(proto::TaskNewsBatch { news: news.iter().map(encode_news).collect() })
+        }
+        PeerMessage::CancelTasks(tasks) => {
+            Kind::CancelTasks(proto::CancelTasks { tasks: tasks.iter().map(ToString::to_string).collect() })
+        }
     };
     proto::Message { kind: Some(kind) }
 }
@@ -80,24 +70,14 @@
         })),
         Kind::Confirmation(confirmation) => Ok(PeerMessage::Confirmation(Confirmation {
             asked_ms: confirmation.asked_ms,
-            slices: confirmation
-                .slices
-                .iter()
-                .map(decode_confirmation)
-                .collect::<Result<_, _>>()?,
+            slices: confirmation.slices.iter().map(decode_confirmation).collect::<Result<_, _>>()?,
         })),
-        Kind::PlaceTasks(tasks) => tasks
-            .orders
-            .iter()
-            .map(decode_order)
-            .collect::<Result<_, _>>()
-            .map(PeerMessage::PlaceTasks),
-        Kind::TaskNews(batch) => batch
-            .news
-            .iter()
-            .map(decode_news)
-            .collect::<Result<_, _>>()
-            .map(PeerMessage::TaskNews),
+        Kind::PlaceTasks(tasks) => {
+            tasks.orders.iter().map(decode_order).collect::<Result<_, _>>().map(PeerMessage::PlaceTasks)
+        }
+        Kind::TaskNews(batch) => {
+            batch.news.iter().map(decode_news).collect::<Result<_, _>>().map(PeerMessage::TaskNews)
+        }
         Kind::CancelTasks(tasks) => tasks
             .tasks
             .iter()
@@ -131,11 +111,7 @@
         largest_free: Some(encode_resources(&load.largest_free)),
         capacity: Some(encode_resources(&load.capacity)),
     });
-    proto::Gossip {
-        generation: gossip.generation,
-        loads: loads.collect(),
-        stopping: gossip.stopping,
-    }
+    proto::Gossip { generation: gossip.generation, loads: loads.collect(), stopping: gossip.stopping }
 }
 
 fn decode_gossip(gossip: &proto::Gossip) -> Result<Gossip, HoistError> {
@@ -150,23 +126,12 @@
         };
         Ok((Fleet::new(&load.fleet)?, digest))
     };
-    let loads = gossip
-        .loads
-        .iter()
-        .map(decode)
-        .collect::<Result<_, HoistError>>()?;
-    Ok(Gossip {
-        generation: gossip.generation,
-        loads,
-        stopping: gossip.stopping,
-    })
+    let loads = gossip.loads.iter().map(decode).collect::<Result<_, HoistError>>()?;
+    Ok(Gossip { generation: gossip.generation, loads, stopping: gossip.stopping })
 }
 
 fn encode_term(slice: &SliceName, term: u64) -> proto::SliceTerm {
-    proto::SliceTerm {
-        slice: slice.to_string(),
-        term,
-    }
+    proto::SliceTerm { slice: slice.to_string(), term }
 }
 
 fn decode_term(slice: &proto::SliceTerm) -> Result<(SliceName, u64), HoistError> {
@@ -184,10 +149,7 @@
         SliceConfirmation::Promised => Answer::Promised(true),
         SliceConfirmation::Declined => Answer::Promised(false),
     };
-    proto::SliceConfirmation {
-        asked: Some(encode_term(&slice.0, slice.1)),
-        answer: Some(answer),
-    }
+    proto::SliceConfirmation { asked: Some(encode_term(&slice.0, slice.1)), answer: Some(answer) }
 }
 
 fn decode_confirmation(
@@ -199,11 +161,7 @@
         Answer::Relayed(relayed) => SliceConfirmation::Relayed {
             age_ms: relayed.age_ms,
             term: relayed.term,
-            holder: relayed
-                .holder
-                .as_ref()
-                .map(|holder| decode_incarnation(Some(holder)))
-                .transpose()?,
+            holder: relayed.holder.as_ref().map(|holder| decode_incarnation(Some(holder))).transpose()?,
         },
         Answer::Promised(true) => SliceConfirmation::Promised,
         Answer::Promised(false) => SliceConfirmation::Declined,
@@ -216,7 +174,7 @@
         task: order.task.to_string(),
         team: order.team.to_string(),
         kind: order.kind.to_string(),
-        class: encode_listed(&WorkClass::ALL, order.class),
+        class: encode_listed(&WorkClass::ALL, &order.class),
         size: Some(encode_resources(&order.size)),
         declared_run_ms: order.declared_run_ms,
         gang_size: order.gang_size,
@@ -239,26 +197,17 @@
         spread: order.spread,
         idempotent: order.idempotent,
         argument: order.argument.clone(),
-        avoid: order
-            .avoid
-            .iter()
-            .map(|host| host.parse())
-            .collect::<Result<_, _>>()?,
+        avoid: order.avoid.iter().map(|host| host.parse()).collect::<Result<_, _>>()?,
     })
 }
 
 /// Every way in which a task may end, in the order of their numbers.
-const EXITS: [TaskExit; 5] = [
-    TaskExit::Succeeded,
-    TaskExit::Failed,
-    TaskExit::Stopped,
-    TaskExit::Lapsed,
-    TaskExit::Refused,
-];
+const EXITS: [TaskExit; 5] =
+    [TaskExit::Succeeded, TaskExit::Failed, TaskExit::Stopped, TaskExit::Lapsed, TaskExit::Refused];
 
 /// Encodes an item of a closed list by its position.
-fn encode_listed<T: PartialEq>(list: &[T], item: T) -> u32 {
-    list.iter().position(|other| *other == item).unwrap_or_default() as u32
+fn encode_listed<T: PartialEq>(list: &[T], item: &T) -> u32 {
+    list.iter().position(|other| other == item).unwrap_or_default() as u32
 }
 
 /// Decodes a position in a closed list.
@@ -270,21 +219,14 @@
     use proto::task_news::State;
     let (host, state) = match &news.state {
         TaskNewsState::Running(host) => (host.to_string(), State::Running(true)),
-        TaskNewsState::Ended { host, exit } => (host.to_string(), State::Ended(encode_listed(&EXITS, *exit))),
+        TaskNewsState::Ended { host, exit } => (host.to_string(), State::Ended(encode_listed(&EXITS, exit))),
         TaskNewsState::NotStarted(kind) => (String::new(), State::NotStarted(encode_kind(*kind))),
     };
-    proto::TaskNews {
-        task: news.task.to_string(),
-        host,
-        state: Some(state),
-    }
+    proto::TaskNews { task: news.task.to_string(), host, state: Some(state) }
 }
 
 fn encode_kind(kind: ErrorKind) -> u32 {
-    ANSWER_ROWS
-        .iter()
-        .position(|row| row.kind == kind)
-        .unwrap_or_default() as u32
+    ANSWER_ROWS.iter().position(|row| row.kind == kind).unwrap_or_default() as u32
 }
 
 fn decode_news(news: &proto::TaskNews) -> Result<TaskNews, HoistError> {
@@ -296,14 +238,8 @@
             exit: decode_listed(&EXITS, *exit).ok_or_else(|| bad("exit"))?,
         },
         State::NotStarted(kind) => TaskNewsState::NotStarted(
-            ANSWER_ROWS
-                .get(*kind as usize)
-                .map(|row| row.kind)
-                .ok_or_else(|| bad("error kind"))?,
+            ANSWER_ROWS.get(*kind as usize).map(|row| row.kind).ok_or_else(|| bad("error kind"))?,
         ),
     };
-    Ok(TaskNews {
-        task: news.task.parse()?,
-        state,
-    })
+    Ok(TaskNews { task: news.task.parse()?, state })
 }
--- a/crates/cassiahoist_world/src/app.rs
+++ b/crates/cassiahoist_world/src/app.rs
@@ -23,10 +23,7 @@
     /// Creates an application without systems.
     #[must_use]
     pub fn new(local: Local) -> Self {
-        Self {
-            world: World::new(local),
-            schedule: Schedule::default(),
-        }
+        Self { world: World::new(local), schedule: Schedule::default() }
     }
 
     /// Adds a plugin's systems.
--- a/crates/cassiahoist_world/src/inbox.rs
+++ b/crates/cassiahoist_world/src/inbox.rs
@@ -77,16 +77,13 @@
             PeerMessage::AskConfirmation(ask) => self.asks.push((from, ask)),
             PeerMessage::Confirmation(confirmation) => self.confirmations.push((from, confirmation)),
             PeerMessage::PlaceTasks(orders) => {
-                self.orders
-                    .extend(orders.into_iter().map(|order| (from.member.clone(), order)));
+                self.orders.extend(orders.into_iter().map(|order| (from.member.clone(), order)));
             }
             PeerMessage::TaskNews(news) => {
-                self.news
-                    .extend(news.into_iter().map(|news| (from.clone(), news)));
+                self.news.extend(news.into_iter().map(|news| (from.clone(), news)));
             }
             PeerMessage::CancelTasks(tasks) => {
-                self.cancels
-                    .extend(tasks.into_iter().map(|task| (from.member.clone(), task)));
+                self.cancels.extend(tasks.into_iter().map(|task| (from.member.clone(), task)));
             }
         }
     }
--- a/crates/cassiahoist_world/src/local.rs
+++ b/crates/cassiahoist_world/src/local.rs
@@ -104,12 +104,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            max_requests: 4_096,
-            max_jobs: 50_000,
-            max_job_tasks: 10_000,
-            max_body_bytes: 1 << 20,
-        }
+        Self { max_requests: 4_096, max_jobs: 50_000, max_job_tasks: 10_000, max_body_bytes: 1 << 20 }
     }
 }
 
--- a/crates/cassiahoist_world/src/slices.rs
+++ b/crates/cassiahoist_world/src/slices.rs
@@ -92,11 +92,7 @@
     #[must_use]
     pub fn permit(&self, id: SliceId, now_ms: u64) -> Option<Permit> {
         let tenure = self.tenure().filter(|tenure| tenure.may_act(now_ms))?;
-        Some(Permit {
-            slice: id,
-            term: tenure.term,
-            until_ms: tenure.permitted_until_ms,
-        })
+        Some(Permit { slice: id, term: tenure.term, until_ms: tenure.permitted_until_ms })
     }
 }
 
@@ -128,11 +124,7 @@
         if let Some(&id) = self.by_name.get(name) {
             return id;
         }
-        let slice = Slice {
-            name: name.clone(),
-            record: SliceRecord::default(),
-            role: SliceRole::Other,
-        };
+        let slice = Slice { name: name.clone(), record: SliceRecord::default(), role: SliceRole::Other };
         let id = self.rows.insert(slice);
         self.by_name.insert(name.clone(), id);
         id
@@ -174,8 +166,7 @@
     /// Tells whether a permit still holds.
     #[must_use]
     pub fn permit_holds(&self, permit: &Permit, now_ms: u64) -> bool {
-        self.permit(permit.slice, now_ms)
-            .is_some_and(|fresh| fresh.term == permit.term)
+        self.permit(permit.slice, now_ms).is_some_and(|fresh| fresh.term == permit.term)
     }
 
     /// Borrows the holder of a slice by the last reading.
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -88,9 +88,6 @@
 
     /// Queues a log event.
     pub fn log(&mut self, event: EventId, detail: impl Into<String>) {
-        self.outbox.push(Effect::Log(LogNote {
-            event,
-            detail: detail.into(),
-        }));
+        self.outbox.push(Effect::Log(LogNote { event, detail: detail.into() }));
     }
 }
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -54,24 +54,15 @@
     let folder = run_folder("quickstart");
     let mut cell = Cell::start(&CellPlan::new(DAEMONS), &folder, programs).await?;
     let doors = cell.doors();
-    println!(
-        "{DAEMONS} daemons serve {} hosts; files are in {}",
-        cell.hosts.len(),
-        folder.display()
-    );
-    let (records, jobs) = tokio::join!(
-        run_load(&doors, REQUESTS, REQUESTS_PER_S, request),
-        drive_jobs(&doors)
-    );
+    println!("{DAEMONS} daemons serve {} hosts; files are in {}", cell.hosts.len(), folder.display());
+    let (records, jobs) =
+        tokio::join!(run_load(&doors, REQUESTS, REQUESTS_PER_S, request), drive_jobs(&doors));
     let stopped = stop_gracefully(&mut cell);
     let lines = read_log(&cell.backend_log)?;
     let tally = judge_requests(&records, &lines);
     let overlaps = count_overlapping_tasks(&lines);
     print_table(&records, &tally, &jobs, stopped);
-    let (sent, answered) = (
-        tally.sent + jobs.sent,
-        tally.answered + jobs.finished + jobs.cancelled,
-    );
+    let (sent, answered) = (tally.sent + jobs.sent, tally.answered + jobs.finished + jobs.cancelled);
     let (refused, lost) = (tally.refused + jobs.refused, tally.lost + jobs.lost);
     let doubled = tally.doubled + overlaps;
     println!(
@@ -100,11 +91,7 @@
         team: "counter".into(),
         idempotent,
         deadline_ms: 3_000,
-        task: RunnerTask {
-            run_ms: 5 + index % 20,
-            fail: false,
-            note: format!("note {index}"),
-        },
+        task: RunnerTask { run_ms: 5 + index % 20, fail: false, note: format!("note {index}") },
     }
 }
 
@@ -130,13 +117,7 @@
             let door = doors[index as usize % doors.len()];
             let identity =
                 |word: &str| RequestIdentity::new(&fleet, &format!("{word}-{index}")).expect("good key");
-            finish(
-                &mut tally,
-                door,
-                &identity("batch"),
-                &job(WorkClass::Batch, 10, 300),
-            )
-            .await;
+            finish(&mut tally, door, &identity("batch"), &job(WorkClass::Batch, 10, 300)).await;
             finish(&mut tally, door, &identity("gang"), &job(WorkClass::Gang, 4, 200)).await;
             watch(&mut tally, door, &identity("watch")).await;
         }
@@ -200,31 +181,18 @@
 
 /// Stops every daemon at once and counts those that ended well in time.
 fn stop_gracefully(cell: &mut Cell) -> usize {
-    let processes: Vec<_> = cell
-        .daemons
-        .iter_mut()
-        .filter_map(|daemon| daemon.process.take())
-        .collect();
+    let processes: Vec<_> = cell.daemons.iter_mut().filter_map(|daemon| daemon.process.take()).collect();
     for process in &processes {
         process.signal(libc::SIGTERM);
     }
-    processes
-        .into_iter()
-        .filter_map(|mut process| process.wait(STOP_LIMIT))
-        .filter(|&code| code == 0)
-        .count()
+    processes.into_iter().filter_map(|mut process| process.wait(STOP_LIMIT)).filter(|&code| code == 0).count()
 }
 
 fn print_table(records: &[CallerRecord], tally: &Tally, jobs: &JobTally, stopped: usize) {
     let mut took_us: Vec<u64> = records.iter().map(|record| record.took_us).collect();
     took_us.sort_unstable();
-    let at = |permille: usize| {
-        took_us
-            .get(took_us.len() * permille / 1_000)
-            .copied()
-            .unwrap_or_default()
-            / 1_000
-    };
+    let at =
+        |permille: usize| took_us.get(took_us.len() * permille / 1_000).copied().unwrap_or_default() / 1_000;
     println!("            sent  answered  refused  other  lost  doubled");
     println!(
         "requests  {:>6}  {:>8}  {:>7}  {:>5}  {:>4}  {:>7}",
@@ -234,13 +202,6 @@
         "jobs      {:>6}  {:>8}  {:>7}  {:>5}  {:>4}",
         jobs.sent, jobs.finished, jobs.refused, jobs.cancelled, jobs.lost
     );
-    println!(
-        "requests took {} ms in the middle, {} ms at p99",
-        at(500),
-        at(990)
-    );
-    println!(
-        "hosts overfull {}; daemons stopped gracefully {stopped}",
-        tally.overfull
-    );
+    println!("requests took {} ms in the middle, {} ms at p99", at(500), at(990));
+    println!("hosts overfull {}; daemons stopped gracefully {stopped}", tally.overfull);
 }
