Judge routes, limits per host, drains, budgets, versions and holders in the simulation

Change: the judge is one check per subject (jobs, places, duty, config, holders) over facts that now hold registrations, versions, questions about queues of one version, and who gave each order. Each seed is played with both workloads; the plain one draws as before, so that kept seeds stay what they were. Ruled out: verdicts that need calm (drain, versions, turns, budgets) count only outside three seconds after a fault. Labels on the advised queue were tried and made jobs that no host could run; they are on the batch queue. Conclusion: every rule that holds here without waves has a verdict, but HARM, RECOVER and LOST of open connections.

--- a/crates/cassiahoist_standins/src/runner.rs
+++ b/crates/cassiahoist_standins/src/runner.rs
@@ -183,6 +183,12 @@
         *barred = (*barred).max(number);
     }
 
+    /// Tells whether orders under a fencing token are carried out.
+    #[must_use]
+    pub fn takes_fence(&self, fence: u64) -> bool {
+        fence >= self.fence
+    }
+
     /// Answers an order; `sent_ms` is when it arrived first.
     pub fn call(
         &mut self,
@@ -197,7 +203,7 @@
         let clock_ms = self.clock_ms(now_ms);
         let refuse = |reason: &str| Outcome::Reply(409, json!({ "clockMs": clock_ms, "reason": reason }));
         let fence = body["fence"].as_u64().unwrap_or_default();
-        if fence < self.fence {
+        if !self.takes_fence(fence) {
             return refuse("fence");
         }
         self.fence = fence;
--- a/crates/cassiahoist_standins/src/server.rs
+++ b/crates/cassiahoist_standins/src/server.rs
@@ -19,6 +19,7 @@
 use crate::advice::advise;
 use crate::platform::Platform;
 use crate::store::Outcome;
+use crate::workload::Workload;
 
 /// Pause between steps of the hosts' work.
 const STEP: Duration = Duration::from_millis(10);
@@ -71,7 +72,7 @@
             .map(|listener| listener.local_addr().map(|address| address.to_string()))
             .collect::<Result<_, _>>()?;
         let shared = Self {
-            platform: Arc::new(Mutex::new(Platform::new(&addresses, START_MS))),
+            platform: Arc::new(Mutex::new(Platform::new(&addresses, Workload::Plain, START_MS))),
             changed: Arc::default(),
             start: Instant::now(),
         };
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -20,10 +20,13 @@
 use rustc_hash::FxHashMap;
 
 pub use callers::Callers;
-pub use faults::{Fault, StoreMood, draw_faults};
+pub use faults::{Fault, StoreMood};
+
+use faults::{draw_changes, draw_faults};
 
 use crate::platform::{EPOCH_MS, Platform};
-use crate::verdict::{Promise, Violation, judge};
+use crate::verdict::{Promise, Scope, Violation, judge};
+use crate::workload::Workload;
 
 /// Length of one round, in milliseconds.
 const ROUND_MS: u64 = 4;
@@ -31,6 +34,9 @@
 /// Longest way of a message, in milliseconds.
 const MAX_WAY_MS: u64 = 6;
 
+/// Hosts of a day with the varied workload.
+const VARIED_HOSTS: usize = 12;
+
 /// What a simulation plays.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -44,6 +50,8 @@
     pub settle_ms: u64,
     /// Mean time between jobs, in milliseconds.
     pub job_every_ms: u64,
+    /// What callers ask for.
+    pub workload: Workload,
     /// Faults and when they come, in milliseconds.
     pub faults: Vec<(u64, Fault)>,
 }
@@ -56,11 +64,28 @@
             traffic_ms: 12_000,
             settle_ms: 25_000,
             job_every_ms: 250,
+            workload: Workload::Plain,
             faults: Vec::new(),
         }
     }
 }
 
+impl Plan {
+    /// Draws the day of a seed.
+    #[must_use]
+    pub fn draw(seed: u64, workload: Workload) -> Self {
+        let mut plan = Self { workload, ..Self::default() };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        draw_faults(&mut plan, &mut rng);
+        if workload == Workload::Varied {
+            // Each of the two pools has to carry the batches.
+            plan.hosts = VARIED_HOSTS;
+            draw_changes(&mut plan, &mut rng);
+        }
+        plan
+    }
+}
+
 /// One daemon of the simulation.
 #[derive(Debug)]
 pub struct Daemon {
@@ -112,7 +137,8 @@
     ways: BTreeMap<(u64, u64), Way>,
     last_way: u64,
     calls: FxHashMap<u64, calls::OpenCall>,
-    struck_ms: Vec<u64>,
+    /// Spans of faults, in milliseconds.
+    harm: faults::Harm,
 }
 
 /// Time after a fault in which a gang may be broken up without blame, in milliseconds.
@@ -127,7 +153,7 @@
         let mut sim = Self {
             now_ms: 1_000,
             daemons,
-            platform: Platform::new(&addresses, 1_000),
+            platform: Platform::new(&addresses, plan.workload, 1_000),
             store_mood: StoreMood::default(),
             log: Vec::new(),
             callers: Callers::default(),
@@ -136,7 +162,7 @@
             ways: BTreeMap::new(),
             last_way: 0,
             calls: FxHashMap::default(),
-            struck_ms: Vec::new(),
+            harm: faults::Harm::default(),
         };
         for daemon in 0..sim.daemons.len() {
             sim.start_daemon(daemon);
@@ -151,9 +177,10 @@
             self.round();
         }
         let mut found = judge(&self.platform.trace, &self.platform.truth, self.now_ms);
-        found.retain(|violation| {
-            let near = |struck_ms: &u64| violation.at_ms.abs_diff(*struck_ms) < GANG_EXEMPT_MS;
-            violation.promise != Promise::Gang || !self.struck_ms.iter().any(near)
+        found.retain(|violation| match (violation.promise, violation.scope) {
+            (Promise::Gang, _) => !self.harm.struck_within(violation.at_ms, GANG_EXEMPT_MS),
+            (_, Scope::Always) => true,
+            (_, Scope::InTouch) => self.harm.is_calm(violation.at_ms),
         });
         found
     }
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -11,7 +11,7 @@
 
 use super::Sim;
 use crate::trace::Fact;
-use crate::workload::{Job, QUEUE_HOST, QUEUE_PATHS, draw_job};
+use crate::workload::{Job, QUEUE_HOST, QUEUE_PATHS, Workload, draw_job, version_path};
 
 /// How long callers wait for an answer, in milliseconds.
 const PATIENCE_MS: u64 = 3_000;
@@ -30,6 +30,21 @@
     Cancel,
 }
 
+/// A question for a queue that stands in one version of the configuration only.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    daemon: usize,
+    life: u64,
+    version: u64,
+    sent_ms: u64,
+}
+
+/// Mean time between such questions, in milliseconds.
+const PROBE_EVERY_MS: u64 = 120;
+
+/// A version that is never written.
+const NO_VERSION: u64 = 1_000_000;
+
 #[derive(Debug)]
 struct Pending {
     job: JobId,
@@ -57,6 +72,8 @@
     known: Vec<Known>,
     last_call: CallNumber,
     next_job_ms: u64,
+    probes: FxHashMap<CallNumber, Probe>,
+    next_probe_ms: u64,
     /// Calls that were answered, by status.
     pub answered: FxHashMap<u16, u64>,
 }
@@ -80,6 +97,9 @@
     pub(super) fn call_daemons(&mut self) {
         self.drop_unanswered();
         self.draw_jobs();
+        if self.plan.workload == Workload::Varied {
+            self.probe_daemons();
+        }
         let now_ms = self.now_ms;
         for position in 0..self.callers.known.len() {
             let known = &mut self.callers.known[position];
@@ -108,7 +128,7 @@
             return;
         }
         self.callers.next_job_ms = self.now_ms + self.rng.random_range(1..=self.plan.job_every_ms * 2);
-        let job = draw_job(&mut self.rng);
+        let job = draw_job(&mut self.rng, self.plan.workload);
         let cancelled = job.lasts() || self.rng.random_bool(0.08);
         let cancel_at_ms = cancelled
             .then(|| self.now_ms + self.rng.random_range(300..if job.lasts() { 15_000 } else { 3_000 }));
@@ -153,6 +173,36 @@
         }
     }
 
+    /// Asks a daemon for a queue of the newest version, of an earlier one, or of none.
+    fn probe_daemons(&mut self) {
+        if self.now_ms < 4_000 || self.now_ms < self.callers.next_probe_ms {
+            return;
+        }
+        self.callers.next_probe_ms = self.now_ms + self.rng.random_range(1..=PROBE_EVERY_MS * 2);
+        let versions = &self.platform.versions;
+        let version = match self.rng.random_range(0..6) {
+            0 => NO_VERSION,
+            1 | 2 => versions[self.rng.random_range(0..versions.len())],
+            _ => versions[versions.len() - 1],
+        };
+        let daemon = self.rng.random_range(0..self.daemons.len());
+        if self.daemons[daemon].app.is_none() {
+            return;
+        }
+        self.callers.last_call += 1;
+        let (number, life) = (self.callers.last_call, self.daemons[daemon].life);
+        let call = FrontCall {
+            number,
+            host: QUEUE_HOST.into(),
+            path: version_path(version),
+            action: CallAction::Ask,
+            body_bytes: 0,
+            deadline_ms: self.now_ms + PATIENCE_MS,
+        };
+        self.callers.probes.insert(number, Probe { daemon, life, version, sent_ms: self.now_ms });
+        self.deliver(daemon, life, Event::Front(call), 0);
+    }
+
     fn drop_unanswered(&mut self) {
         let now_ms = self.now_ms;
         let mut lost: Vec<(CallNumber, JobId, Kind)> = self
@@ -172,6 +222,11 @@
     }
 
     pub(super) fn hear_answer(&mut self, _daemon: usize, call: CallNumber, answer: FrontAnswer) {
+        if let Some(Probe { daemon, life, version, sent_ms }) = self.callers.probes.remove(&call) {
+            let status = front::Front.write_answer(answer).status().as_u16();
+            let fact = Fact::Probed { daemon, life, version, sent_ms, status };
+            return self.platform.trace.note(self.now_ms, fact);
+        }
         let Some(pending) = self.callers.pending.remove(&call) else { return };
         let status = front::Front.write_answer(answer).status().as_u16();
         *self.callers.answered.entry(status).or_default() += 1;
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -252,6 +252,11 @@
         let arrived_ms = call.arrived_ms.unwrap_or(now_ms);
         let (method, target, body) = &call.request;
         let platform = &mut self.platform;
+        if let Target::Host(order) = &call.target
+            && arrived_ms == now_ms
+        {
+            platform.note_order(order, call.daemon, call.life, now_ms);
+        }
         let outcome = match &call.target {
             Target::Store(_) => platform.store.call(method, target, body, arrived_ms, now_ms),
             Target::Host(order) => match platform.machine_at(&order.address) {
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -60,6 +60,62 @@
     Configure(u64),
 }
 
+/// Time without faults after which a daemon counts as in touch, in milliseconds.
+const CALM_MS: u64 = 3_000;
+
+/// When faults were at work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Harm {
+    /// When faults struck, in milliseconds.
+    struck_ms: Vec<u64>,
+    /// From when to when each was at work, in milliseconds.
+    spans: Vec<(u64, u64)>,
+    /// Since when the store has misbehaved, in milliseconds.
+    store_since_ms: Option<u64>,
+}
+
+impl Harm {
+    fn note(&mut self, fault: &Fault, now_ms: u64) {
+        if matches!(fault, Fault::Configure(_) | Fault::ForeignEntry) {
+            return;
+        }
+        self.struck_ms.push(now_ms);
+        let for_ms = match fault {
+            Fault::KillHolder(for_ms)
+            | Fault::Kill(_, for_ms)
+            | Fault::KillAll(for_ms)
+            | Fault::FreezeHolder(for_ms)
+            | Fault::CutHolder(for_ms)
+            | Fault::Cut(_, for_ms)
+            | Fault::Dark(_, for_ms) => *for_ms,
+            Fault::Store(mood) if *mood == StoreMood::default() => {
+                let since_ms = self.store_since_ms.take().unwrap_or(now_ms);
+                self.spans.push((since_ms, now_ms));
+                return;
+            }
+            Fault::Store(_) => {
+                self.store_since_ms.get_or_insert(now_ms);
+                return;
+            }
+            Fault::Drain(_) => return,
+            _ => 0,
+        };
+        self.spans.push((now_ms, now_ms + for_ms));
+    }
+
+    /// Tells whether a fault struck within some time of a moment, both in milliseconds.
+    pub(super) fn struck_within(&self, at_ms: u64, time_ms: u64) -> bool {
+        self.struck_ms.iter().any(|struck_ms| at_ms.abs_diff(*struck_ms) < time_ms)
+    }
+
+    /// Tells whether no fault was at work shortly before a moment, in milliseconds.
+    pub(super) fn is_calm(&self, at_ms: u64) -> bool {
+        let store_harmed = self.store_since_ms.is_some_and(|since_ms| at_ms >= since_ms);
+        !store_harmed
+            && !self.spans.iter().any(|(from_ms, until_ms)| at_ms >= *from_ms && at_ms < until_ms + CALM_MS)
+    }
+}
+
 impl Sim {
     /// Lets the faults strike whose time has come.
     pub(super) fn strike(&mut self) {
@@ -67,9 +123,7 @@
         let due: Vec<Fault> =
             self.plan.faults.extract_if(.., |(at_ms, _)| now_ms >= *at_ms).map(|(_, fault)| fault).collect();
         for fault in due {
-            if !matches!(fault, Fault::Configure(_) | Fault::ForeignEntry) {
-                self.struck_ms.push(now_ms);
-            }
+            self.harm.note(&fault, now_ms);
             self.strike_one(fault);
         }
     }
@@ -115,16 +169,16 @@
             Fault::Store(mood) => self.store_mood = mood,
             Fault::LapseLeases => self.platform.store.lapse_leases(),
             Fault::Compact => self.platform.store.compact(),
-            Fault::Configure(version) => self.platform.configure(version),
+            Fault::Configure(version) => self.platform.configure(version, now_ms),
             Fault::ForeignEntry => self.platform.store.put("servers/orphan", "bm8ganNvbg==".into()),
             Fault::Rebirth(host) => self.rebirth(host % hosts),
             Fault::Dark(host, for_ms) => {
                 self.platform.machines[host % hosts].dark_until_ms = now_ms + for_ms;
             }
-            Fault::Mood(host, mood) => self.platform.machines[host % hosts].runner.mood = mood,
+            Fault::Mood(host, mood) => self.platform.set_mood(host % hosts, mood, now_ms),
             Fault::Drain(host) => {
                 self.platform.machines[host % hosts].draining = true;
-                self.platform.register(host % hosts);
+                self.platform.register(host % hosts, now_ms);
             }
         }
     }
@@ -134,14 +188,14 @@
     fn rebirth(&mut self, host: usize) {
         let (platform, now_ms) = (&mut self.platform, self.now_ms);
         platform.machines[host].runner.rebirth(EPOCH_MS + now_ms, now_ms, &mut platform.trace);
-        platform.register(host);
+        platform.register(host, now_ms);
         let address = platform.machines[host].address.clone();
         self.break_host_calls(&address);
     }
 }
 
 /// Draws the faults of a plan: a few, close together as often as not.
-pub fn draw_faults(plan: &mut Plan, rng: &mut SmallRng) {
+pub(super) fn draw_faults(plan: &mut Plan, rng: &mut SmallRng) {
     let count = rng.random_range(1..=5);
     let mut at_ms = rng.random_range(4_000..8_000);
     for _ in 0..count {
@@ -158,6 +212,19 @@
     }
 }
 
+/// Draws planned changes among the faults of a plan: configurations that follow one another, and a host that leaves.
+pub(super) fn draw_changes(plan: &mut Plan, rng: &mut SmallRng) {
+    plan.faults.retain(|(_, fault)| !matches!(fault, Fault::Configure(_)));
+    let mut version = 1;
+    let mut at_ms = rng.random_range(4_000..6_000);
+    while at_ms < 4_000 + plan.traffic_ms {
+        version += rng.random_range(1..4);
+        plan.faults.push((at_ms, Fault::Configure(version)));
+        at_ms += rng.random_range(50..6_000);
+    }
+    plan.faults.push((rng.random_range(5_000..12_000), Fault::Drain(rng.random_range(0..64))));
+}
+
 fn draw_fault(rng: &mut SmallRng) -> Fault {
     let for_ms = rng.random_range(200..8_000);
     let host = rng.random_range(0..64);
--- a/crates/cassiahoist_standins/src/trace.rs
+++ b/crates/cassiahoist_standins/src/trace.rs
@@ -68,6 +68,55 @@
         /// The number.
         seen: u64,
     },
+    /// The operators wrote a configuration.
+    Configured {
+        /// Its version.
+        version: u64,
+    },
+    /// A host registered itself, or changed otherwise.
+    Registered {
+        /// The host.
+        host: HostName,
+        /// How it stands.
+        view: HostView,
+    },
+    /// A daemon's order reached a host that took its fencing token.
+    Ordered {
+        /// The host.
+        host: HostName,
+        /// The daemon, by number.
+        daemon: usize,
+        /// Start of the daemon's life, in milliseconds since the epoch.
+        life: u64,
+        /// The token.
+        fence: u64,
+    },
+    /// A daemon was asked for a queue that stands in one version of the configuration only.
+    Probed {
+        /// The daemon, by number.
+        daemon: usize,
+        /// Start of the daemon's life, in milliseconds since the epoch.
+        life: u64,
+        /// The version.
+        version: u64,
+        /// When the call was sent, in milliseconds.
+        sent_ms: u64,
+        /// The answer's status.
+        status: u16,
+    },
+}
+
+/// How a host stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostView {
+    /// Its pool.
+    pub pool: &'static str,
+    /// The label of its kind.
+    pub label: &'static str,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+    /// Whether it runs what it is given.
+    pub sound: bool,
 }
 
 /// What callers and hosts saw.
--- a/crates/cassiahoist_standins/src/verdict.rs
+++ b/crates/cassiahoist_standins/src/verdict.rs
@@ -1,12 +1,15 @@
 //! Verdicts over what callers and hosts saw.
 
-use std::fmt;
+mod config;
+mod duty;
+mod holders;
+mod jobs;
+mod places;
 
-use cassiahoist_core::prelude::*;
-use rustc_hash::{FxHashMap, FxHashSet};
+use std::fmt;
 
 use crate::trace::{Fact, Trace};
-use crate::workload::{MAX_ATTEMPTS, Truth};
+use crate::workload::Truth;
 
 /// A promise of the pages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -17,6 +20,8 @@
     Twice,
     /// A step starts after the steps that come first.
     Order,
+    /// Tasks start only on hosts of their queue's pool, with the label asked for, and within the limit per host.
+    Route,
     /// A task that failed too often does not start again.
     Budget,
     /// A gang's members start together.
@@ -29,6 +34,23 @@
     Lost,
     /// A job is shown as it is.
     Mixed,
+    /// Nothing is ordered that takes a lasting step below what may be away of it.
+    Avail,
+    /// A host that leaves gets no new work.
+    Drain,
+    /// Calls are handled by the configuration in force, which never goes back.
+    Config,
+    /// One daemon at a time gives orders to a host.
+    One,
+}
+
+/// For which daemons a promise holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// For all of them.
+    Always,
+    /// For those that no fault has touched of late.
+    InTouch,
 }
 
 /// A broken promise.
@@ -36,246 +58,56 @@
 pub struct Violation {
     /// Which.
     pub promise: Promise,
+    /// For which daemons it holds.
+    pub scope: Scope,
     /// When, in milliseconds.
     pub at_ms: u64,
     /// What was seen.
     pub detail: String,
 }
 
-impl fmt::Display for Violation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} at {} ms: {}", self.promise, self.at_ms, self.detail)
-    }
-}
-
-/// Time after a cancelling in which starts are still allowed, in milliseconds.
-const CANCEL_MS: u64 = 3_000;
-
-#[derive(Default)]
-struct Checker {
-    /// Runs under way, by task.
-    running: FxHashMap<String, FxHashSet<(HostName, u64)>>,
-    /// Ends on each host's life that were not recorded yet: number, task, ending.
-    unrecorded: FxHashMap<HostName, Vec<(u64, String, &'static str)>>,
-    ends: FxHashMap<HostName, u64>,
-    lives: FxHashMap<HostName, u64>,
-    done: FxHashSet<String>,
-    done_and_recorded: FxHashMap<String, u64>,
-    failures: FxHashMap<String, u32>,
-    /// Failed runs by task, and by step for gangs, recorded or not.
-    failed_runs: FxHashMap<String, FxHashSet<u64>>,
-    cancelled: FxHashMap<JobId, u64>,
-    cancel_sent: FxHashSet<JobId>,
-    accepted: FxHashMap<JobId, u64>,
-    refused: FxHashSet<JobId>,
-    started: FxHashSet<JobId>,
-    completed: FxHashSet<JobId>,
-    found: Vec<Violation>,
-}
-
-impl Checker {
-    fn blame(&mut self, promise: Promise, at_ms: u64, detail: String) {
-        self.found.push(Violation { promise, at_ms, detail });
+impl Violation {
+    /// Blames a daemon whatever has happened to it.
+    #[must_use]
+    pub fn new(promise: Promise, at_ms: u64, detail: String) -> Self {
+        Self { promise, scope: Scope::Always, at_ms, detail }
     }
 
-    fn read(&mut self, at_ms: u64, fact: &Fact, truth: &Truth) {
-        match fact {
-            Fact::Submitted { job, status } => match status {
-                200..=299 => {
-                    self.accepted.entry(*job).or_insert(at_ms);
-                    self.refused.remove(job);
-                }
-                429 | 503 => {
-                    if !self.accepted.contains_key(job) {
-                        self.refused.insert(*job);
-                    }
-                }
-                _ => {
-                    // The job may run: this attempt was not refused.
-                    self.accepted.entry(*job).or_insert(u64::MAX);
-                    self.refused.remove(job);
-                }
-            },
-            Fact::CancelSent { job } => {
-                self.cancel_sent.insert(*job);
-            }
-            Fact::Cancelled { job, status } => {
-                if (200..300).contains(status) {
-                    self.cancelled.entry(*job).or_insert(at_ms);
-                }
-            }
-            Fact::Shown { job, status, state } => self.read_shown(at_ms, *job, *status, state, truth),
-            Fact::Started { task, run, host, taken, capacity, born } => {
-                if self.lives.insert(host.clone(), *born) != Some(*born) {
-                    self.unrecorded.remove(host);
-                    self.ends.remove(host);
-                }
-                if !taken.fits_within(capacity) {
-                    self.blame(Promise::Limit, at_ms, format!("{host} has {capacity:?}, taken {taken:?}"));
-                }
-                self.read_start(at_ms, task, *run, host, truth);
-            }
-            Fact::Ended { task, run, host, how } => self.read_end(at_ms, task, *run, host, how),
-            Fact::Seen { host, born, seen } => self.read_seen(at_ms, host, *born, *seen),
-        }
-    }
-
-    fn read_start(&mut self, at_ms: u64, task: &str, run: u64, host: &HostName, truth: &Truth) {
-        let Ok(name) = task.parse::<TaskName>() else { return };
-        let job = name.step.job;
-        self.started.insert(job);
-        let others = self.running.entry(task.into()).or_default();
-        if !others.is_empty() {
-            let detail = format!("{task} run {run} on {host} beside {others:?}");
-            self.found.push(Violation { promise: Promise::Twice, at_ms, detail });
-        }
-        others.insert((host.clone(), run));
-        let lasting = truth.of(task).is_some_and(|truth| truth.lasting);
-        if !lasting && let Some(noted_ms) = self.done_and_recorded.get(task) {
-            let detail = format!("{task} run {run} on {host} after its end was recorded at {noted_ms}");
-            self.blame(Promise::Twice, at_ms, detail);
-        }
-        let Some(known) = truth.jobs.get(&job) else {
-            return self.blame(Promise::Unasked, at_ms, format!("{task} belongs to no job"));
-        };
-        if let Some(step) = known.steps.get(usize::from(name.step.step)) {
-            for after in &step.after {
-                let earlier = known.steps.get(usize::from(*after)).map_or(0, |step| step.tasks);
-                let step_name = StepName { step: *after, ..name.step };
-                let gang = known.steps.get(usize::from(*after)).is_some_and(|step| step.task.gang);
-                let mut ends = (0..earlier).map(|index| self.done.contains(&format!("{step_name}.{index}")));
-                let clear = if gang { ends.any(|done| done) } else { ends.all(|done| done) };
-                if !clear {
-                    let detail = format!("{task} before step {after} was done");
-                    self.blame(Promise::Order, at_ms, detail);
-                    break;
-                }
-            }
-        }
-        if !lasting && self.failures.get(task).copied().unwrap_or_default() >= MAX_ATTEMPTS {
-            self.blame(Promise::Budget, at_ms, format!("{task} run {run}"));
-        }
-        if let Some(cancelled_ms) = self.cancelled.get(&job)
-            && at_ms > cancelled_ms + CANCEL_MS
-        {
-            self.blame(Promise::Unasked, at_ms, format!("{task} after its cancelling at {cancelled_ms}"));
-        }
-    }
-
-    fn read_end(&mut self, at_ms: u64, task: &str, run: u64, host: &HostName, how: &'static str) {
-        if let Some(running) = self.running.get_mut(task) {
-            running.remove(&(host.clone(), run));
-        }
-        if how == "crash" {
-            return;
-        }
-        let number = self.ends.entry(host.clone()).or_default();
-        *number += 1;
-        let number = *number;
-        self.unrecorded.entry(host.clone()).or_default().push((number, task.into(), how));
-        if how == "done" {
-            self.done.insert(task.into());
-        }
-        if how == "failed" {
-            self.failed_runs.entry(task.into()).or_default().insert(run);
-            if let Some((step, _)) = task.rsplit_once('.') {
-                self.failed_runs.entry(step.into()).or_default().insert(run);
-            }
-        }
-        if how == "alone" {
-            self.blame(Promise::Gang, at_ms, format!("{task} run {run} on {host} waited for the others"));
-        }
-    }
-
-    fn read_seen(&mut self, at_ms: u64, host: &HostName, born: u64, seen: u64) {
-        if self.lives.insert(host.clone(), born) != Some(born) {
-            self.unrecorded.remove(host);
-            self.ends.remove(host);
-        }
-        let Some(rows) = self.unrecorded.get_mut(host) else { return };
-        for (_, task, how) in rows.extract_if(.., |(number, ..)| *number <= seen) {
-            if how == "done" {
-                self.done_and_recorded.entry(task).or_insert(at_ms);
-            } else if how == "failed" {
-                *self.failures.entry(task).or_default() += 1;
-            }
-        }
-    }
-
-    fn read_shown(&mut self, at_ms: u64, job: JobId, status: u16, state: &str, truth: &Truth) {
-        let Some(known) = truth.jobs.get(&job) else { return };
-        let cancelled = self.cancel_sent.contains(&job);
-        if status == 410 && self.accepted.get(&job).is_some_and(|ms| *ms < at_ms) && !cancelled {
-            self.blame(Promise::Lost, at_ms, format!("{job} is not known"));
-        }
-        match state {
-            "completed" => {
-                self.completed.insert(job);
-                let undone = known.steps.iter().enumerate().find(|(number, step)| {
-                    let name = StepName { job, occurrence: 0, step: *number as u16 };
-                    let mut ends =
-                        (0..step.tasks).map(|index| self.done.contains(&format!("{name}.{index}")));
-                    if step.task.gang { !ends.any(|done| done) } else { !ends.all(|done| done) }
-                });
-                if let Some((number, _)) = undone {
-                    self.blame(Promise::Mixed, at_ms, format!("{job} completed before step {number}"));
-                }
-            }
-            "failed" if known.is_doable() && !self.may_have_failed(job, truth) => {
-                self.blame(Promise::Lost, at_ms, format!("{job} failed without cause"));
-            }
-            "cancelled" if !cancelled => {
-                self.blame(Promise::Lost, at_ms, format!("{job} cancelled without cause"));
-            }
-            _ => {}
-        }
+    /// Blames a daemon only if no fault has touched it of late.
+    #[must_use]
+    pub fn in_touch(self) -> Self {
+        Self { scope: Scope::InTouch, ..self }
     }
+}
 
-    /// Tells whether a task or a gang of the job has failed as often as the queue allows.
-    fn may_have_failed(&self, job: JobId, truth: &Truth) -> bool {
-        let Some(known) = truth.jobs.get(&job) else { return false };
-        known.steps.iter().enumerate().any(|(number, step)| {
-            let name = StepName { job, occurrence: 0, step: number as u16 };
-            let often = |unit: &String| {
-                self.failed_runs.get(unit).is_some_and(|runs| runs.len() >= MAX_ATTEMPTS as usize)
-            };
-            if step.task.gang {
-                often(&name.to_string())
-            } else {
-                (0..step.tasks).any(|index| often(&format!("{name}.{index}")))
-            }
-        })
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at {} ms: {}", self.promise, self.at_ms, self.detail)
     }
+}
 
-    fn finish(mut self, at_ms: u64, truth: &Truth) -> Vec<Violation> {
-        for job in &self.refused {
-            if self.started.contains(job) {
-                let detail = format!("{job} ran though every attempt was refused");
-                self.found.push(Violation { promise: Promise::Refused, at_ms, detail });
-            }
-        }
-        for (job, since_ms) in &self.accepted {
-            let Some(known) = truth.jobs.get(job) else { continue };
-            let owed = *since_ms < u64::MAX
-                && known.is_doable()
-                && !known.lasts()
-                && !self.cancel_sent.contains(job)
-                && !self.may_have_failed(*job, truth);
-            if owed && !self.completed.contains(job) {
-                let detail = format!("{job} accepted at {since_ms} is not completed");
-                self.found.push(Violation { promise: Promise::Lost, at_ms, detail });
-            }
-        }
-        self.found
-    }
+/// A part of the promises, kept over facts in order of time.
+trait Check {
+    /// Reads a fact and notes what it breaks.
+    fn read(&mut self, at_ms: u64, fact: &Fact, truth: &Truth, found: &mut Vec<Violation>);
 }
 
 /// Finds the promises that were broken.
 #[must_use]
 pub fn judge(trace: &Trace, truth: &Truth, end_ms: u64) -> Vec<Violation> {
-    let mut checker = Checker::default();
+    let mut found = Vec::new();
+    let mut jobs = jobs::JobCheck::default();
+    let mut places = places::PlaceCheck::default();
+    let mut duty = duty::DutyCheck::default();
+    let mut config = config::ConfigCheck::default();
+    let mut holders = holders::HolderCheck::default();
     for (at_ms, fact) in &trace.facts {
-        checker.read(*at_ms, fact, truth);
+        jobs.read(*at_ms, fact, truth, &mut found);
+        places.read(*at_ms, fact, truth, &mut found);
+        duty.read(*at_ms, fact, truth, &mut found);
+        config.read(*at_ms, fact, truth, &mut found);
+        holders.read(*at_ms, fact, truth, &mut found);
     }
-    checker.finish(end_ms, truth)
+    jobs.finish(end_ms, truth, &mut found);
+    found
 }
--- a/crates/cassiahoist_standins/src/workload.rs
+++ b/crates/cassiahoist_standins/src/workload.rs
@@ -32,6 +32,12 @@
     pub after: Vec<u16>,
     /// Each task.
     pub task: TaskTruth,
+    /// The label that its hosts must have.
+    pub required_label: Option<&'static str>,
+    /// Most of its tasks on one host.
+    pub max_per_host: Option<u32>,
+    /// Tasks that may be away by the scheduler's doing.
+    pub may_miss: Option<u32>,
 }
 
 /// A job as its caller knows it.
@@ -64,6 +70,8 @@
 /// What is true of all jobs.
 #[derive(Clone, Debug, Default)]
 pub struct Truth {
+    /// What callers ask for.
+    pub workload: Workload,
     /// Jobs by identity.
     pub jobs: FxHashMap<JobId, Job>,
 }
@@ -78,24 +86,74 @@
     }
 }
 
+/// What callers ask for, and what operators write.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Workload {
+    /// One pool of equal hosts; steps ask for room only.
+    #[default]
+    Plain,
+    /// Two pools of two kinds of hosts; steps ask for labels, limits and budgets, and versions of the configuration
+    /// move a queue from pool to pool and have a queue of their own each.
+    Varied,
+}
+
+impl Workload {
+    /// Gives the pool to which a version sends a queue.
+    #[must_use]
+    pub fn pool(self, queue: usize, version: u64) -> &'static str {
+        match self {
+            Self::Varied if queue == BATCHES && version.is_multiple_of(2) => OTHER_POOL,
+            Self::Plain | Self::Varied => POOL,
+        }
+    }
+
+    /// Gives the pool of a host, by its number.
+    #[must_use]
+    pub fn host_pool(self, number: usize) -> &'static str {
+        if self == Self::Varied && number % 2 == 1 { OTHER_POOL } else { POOL }
+    }
+
+    /// Gives the label of a host's kind, by its number.
+    #[must_use]
+    pub fn host_label(self, number: usize) -> &'static str {
+        if self == Self::Varied && number % 4 < 2 { OTHER_LABEL } else { LABEL }
+    }
+}
+
+/// Labels of the kinds of hosts.
+const LABEL: &str = "a";
+const OTHER_LABEL: &str = "b";
+
 /// Host name that callers use.
 pub const QUEUE_HOST: &str = "desk.example";
 
-/// Pool that runs all queues.
+/// Pool that runs all queues of the plain workload.
 pub const POOL: &str = "desk";
 
+/// Second pool of the varied workload.
+const OTHER_POOL: &str = "press";
+
 /// Runs that may fail before a job fails.
 pub const MAX_ATTEMPTS: u32 = 3;
 
 /// Paths of the queues: counter work, long batches, and what lasts.
 pub const QUEUE_PATHS: [&str; 3] = ["/checks/", "/batches/", "/watches/"];
 
+/// Number of the queue of long batches.
+const BATCHES: usize = 1;
+
+/// Gives the path of the queue that stands in one version only.
+#[must_use]
+pub fn version_path(version: u64) -> String {
+    format!("/only-{version}/")
+}
+
 /// Gives the configuration of a version.
 #[must_use]
-pub fn config_json(version: u64) -> Value {
-    let route = |name: &str, path: &str, priority: u32, advice: bool| {
+pub fn config_json(version: u64, workload: Workload) -> Value {
+    let route = |name: &str, path: &str, pool: &str, priority: u32, advice: bool| {
         let mut route = json!({
-            "name": name, "host": QUEUE_HOST, "pathPrefix": path, "service": POOL, "priority": priority,
+            "name": name, "host": QUEUE_HOST, "pathPrefix": path, "service": pool, "priority": priority,
             "maxAttempts": MAX_ATTEMPTS, "stretch": 2.0, "targetLatencyMs": 500, "timeoutMs": 3000,
         });
         if advice {
@@ -104,20 +162,24 @@
         }
         route
     };
+    let mut routes = vec![
+        route("checks", QUEUE_PATHS[0], workload.pool(0, version), 0, true),
+        route("batches", QUEUE_PATHS[1], workload.pool(BATCHES, version), 2, false),
+        route("watches", QUEUE_PATHS[2], workload.pool(2, version), 1, false),
+    ];
+    let service = |name: &str| json!({ "name": name, "rejectsOverload": false, "standby": false });
+    let mut services = vec![service(POOL)];
+    if workload == Workload::Varied {
+        routes.push(route(&format!("only-{version}"), &version_path(version), POOL, 3, false));
+        services.push(service(OTHER_POOL));
+    }
     json!({
-        "version": version,
-        "routes": [
-            route("checks", QUEUE_PATHS[0], 0, true),
-            route("batches", QUEUE_PATHS[1], 2, false),
-            route("watches", QUEUE_PATHS[2], 1, false),
-        ],
-        "services": [{ "name": POOL, "rejectsOverload": false, "standby": false }],
-        "limits": { "maxBodyBytes": 262_144 },
+        "version": version, "routes": routes, "services": services, "limits": { "maxBodyBytes": 262_144 },
     })
 }
 
 /// Draws a job.
-pub fn draw_job(rng: &mut SmallRng) -> Job {
+pub fn draw_job(rng: &mut SmallRng, workload: Workload) -> Job {
     let id = JobId(rng.random());
     let queue = match rng.random_range(0..10) {
         0..=5 => 0,
@@ -125,7 +187,12 @@
         _ => 2,
     };
     let count = if queue == 2 { 1 } else { rng.random_range(1..=3_u16) };
-    let steps: Vec<StepTruth> = (0..count).map(|number| draw_step(rng, queue, number)).collect();
+    let mut steps: Vec<StepTruth> = (0..count).map(|number| draw_step(rng, queue, number)).collect();
+    if workload == Workload::Varied {
+        for step in &mut steps {
+            draw_terms(rng, queue, step);
+        }
+    }
     let wire: Vec<Value> = steps.iter().map(step_json).collect();
     let body = json!({ "spec": format!("job {id}"), "steps": wire }).to_string().into_bytes();
     Job { id, queue, steps, body }
@@ -142,7 +209,27 @@
         lasting: queue == 2,
     };
     let after = if number > 0 && rng.random_bool(0.8) { vec![number - 1] } else { Vec::new() };
-    StepTruth { tasks: rng.random_range(1..=6), after, task }
+    StepTruth {
+        tasks: rng.random_range(1..=6),
+        after,
+        task,
+        required_label: None,
+        max_per_host: None,
+        may_miss: None,
+    }
+}
+
+/// Draws what a step asks of its hosts beyond room.
+fn draw_terms(rng: &mut SmallRng, queue: usize, step: &mut StepTruth) {
+    if queue == BATCHES && !step.task.gang && rng.random_bool(0.3) {
+        step.required_label = Some(if rng.random_bool(0.5) { LABEL } else { OTHER_LABEL });
+    }
+    if step.required_label.is_none() && !step.task.gang && rng.random_bool(0.3) {
+        step.max_per_host = Some(rng.random_range(2..=3));
+    }
+    if step.task.lasting && rng.random_bool(0.7) {
+        step.may_miss = Some(rng.random_range(1..=2));
+    }
 }
 
 fn step_json(step: &StepTruth) -> Value {
@@ -164,5 +251,14 @@
     if step.task.lasting {
         wire["persistent"] = json!(true);
     }
+    if let Some(label) = step.required_label {
+        wire["requiredLabel"] = json!(label);
+    }
+    if let Some(limit) = step.max_per_host {
+        wire["maxPerServer"] = json!(limit);
+    }
+    if let Some(count) = step.may_miss {
+        wire["mayMiss"] = json!(count);
+    }
     wire
 }
--- a/crates/cassiahoist_standins/tests/holder.rs
+++ b/crates/cassiahoist_standins/tests/holder.rs
@@ -5,13 +5,16 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_standins::workload::{Workload, config_json};
 use cassiahoist_world::advice::Ticket;
 use cassiahoist_world::effect::Effect;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::front::{CallAction, FrontAnswer, FrontCall};
 use cassiahoist_world::hosts::Adoption;
 use cassiahoist_world::jobs::TaskState;
-use cassiahoist_world::orders::{HostLists, HostOrder, Order, OrderOutcome, RefusalReason, RunEnding};
+use cassiahoist_world::orders::{
+    HostLists, HostOrder, Order, OrderOutcome, RefusalReason, RunEnding, RunningReport,
+};
 use cassiahoist_world::peer::{PeerMessage, Sender};
 use cassiahoist_world::record::{JobState, MemberRecord};
 use cassiahoist_world::spec::StepSpec;
@@ -454,29 +457,37 @@
     assert_eq!(holder.app.world().counters.starts, 1);
 }
 
+/// Puts the stand-ins' first configuration in force.
+fn configure(holder: &mut Holder) {
+    let config = cassiahoist_platform::decode_config(config_json(1, Workload::Plain).to_string().as_bytes());
+    holder.app.world_mut().config.in_force = Some(Arc::new(config.unwrap()));
+}
+
+/// Submits a job to the queue of counter work.
+fn submit(holder: &mut Holder, call: u64, body: &[u8]) {
+    let job = cassiahoist_platform::decode_job(body).unwrap();
+    holder.hear(Event::Front(FrontCall {
+        number: call,
+        host: "desk.example".into(),
+        path: format!("/checks/{}", JobId(call)),
+        action: CallAction::Submit(Ok(Box::new(job))),
+        body_bytes: body.len(),
+        deadline_ms: holder.now_ms + 3_000,
+    }));
+}
+
 #[test]
 fn a_daemon_that_the_store_turns_away_asks_a_peer() {
     let mut holder = Holder::new(0);
-    let config = cassiahoist_platform::decode_config(
-        cassiahoist_standins::workload::config_json(1).to_string().as_bytes(),
-    );
+    configure(&mut holder);
     let world = holder.app.world_mut();
-    world.config.in_force = Some(Arc::new(config.unwrap()));
     world.members.insert(MemberRecord {
         incarnation: "edge-1#1".parse().unwrap(),
         peer_address: "10.1.0.1:7720".into(),
         domain: FailureDomain::new("obihiro").unwrap(),
     });
     world.store.failing_since_ms = Some(500);
-    let job = cassiahoist_platform::decode_job(br#"{"steps":[{"count":1}]}"#).unwrap();
-    holder.hear(Event::Front(FrontCall {
-        number: 9,
-        host: "desk.example".into(),
-        path: format!("/checks/{}", JobId(5)),
-        action: CallAction::Submit(Ok(Box::new(job))),
-        body_bytes: 10,
-        deadline_ms: 4_000,
-    }));
+    submit(&mut holder, 9, br#"{"steps":[{"count":1}]}"#);
     let relayed = holder.effects.iter().any(|effect| {
         matches!(effect, Effect::Peer { address, message: PeerMessage::Relay { call: 9, .. } }
             if address == "10.1.0.1:7720")
@@ -606,3 +617,33 @@
     assert!(matches!(holder.app.world().jobs.tasks[task].state, TaskState::Placed(_)));
     assert_eq!(holder.app.world().jobs.tasks[task].last_number, 1);
 }
+
+#[test]
+fn a_lasting_task_at_work_is_never_stopped_or_moved() {
+    let mut holder = Holder::new(3);
+    holder.add_job(1, vec![StepSpec { lasting: true, disruption_budget: Some(1), ..step(2) }]);
+    holder.tick(10);
+    confirm_starts(&mut holder);
+    // Room elsewhere comes and goes, jobs arrive and end; the tasks stand at 100 percent all the while.
+    for round in 0..60 {
+        let at_work: Vec<(u64, String)> = (0..3)
+            .flat_map(|host| {
+                let key = holder.host(host);
+                let world = holder.app.world();
+                let runs = world.hosts.get(key).unwrap().runs.clone();
+                runs.into_iter().map(move |run| (host, run)).collect::<Vec<_>>()
+            })
+            .map(|(host, run)| (host, holder.app.world().runs.rows[run].name.to_string()))
+            .filter(|(_, name)| name.starts_with(&format!("{}.", JobId(1))))
+            .collect();
+        assert_eq!(at_work.len(), 2, "round {round}");
+        for host in 0..3 {
+            let listed = at_work.iter().filter(|(on, _)| *on == host);
+            let rows = listed.map(|(_, name)| RunningReport { percent: 100, ..running(name, 1) }).collect();
+            holder.list(host, lists(rows));
+            assert!(!holder.orders().any(|order| matches!(order.order, Order::Stop { .. })), "round {round}");
+        }
+        holder.tick(1_000);
+        assert!(!holder.orders().any(|order| matches!(order.order, Order::Stop { .. })), "round {round}");
+    }
+}
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -1,9 +1,8 @@
 //! Scripted days of faults and seeded ones, judged by what callers and hosts saw.
 
 use cassiahoist_standins::runner::Mood;
-use cassiahoist_standins::sim::{Fault, Plan, Sim, StoreMood, draw_faults};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
+use cassiahoist_standins::sim::{Fault, Plan, Sim, StoreMood};
+use cassiahoist_standins::workload::Workload;
 
 fn play(seed: u64, faults: Vec<(u64, Fault)>) -> Sim {
     let mut sim = Sim::new(seed, Plan { faults, ..Plan::default() });
@@ -166,11 +165,12 @@
 #[test]
 fn seeded_days_break_no_promise() {
     for seed in 1..=24 {
-        let mut plan = Plan::default();
-        draw_faults(&mut plan, &mut SmallRng::seed_from_u64(seed));
-        let faults = plan.faults.clone();
-        let found = Sim::new(seed, plan).play();
-        assert!(found.is_empty(), "seed {seed}, {faults:?}: {}", found[0]);
+        for workload in [Workload::Plain, Workload::Varied] {
+            let plan = Plan::draw(seed, workload);
+            let faults = plan.faults.clone();
+            let found = Sim::new(seed, plan).play();
+            assert!(found.is_empty(), "seed {seed}, {workload:?}, {faults:?}: {}", found[0]);
+        }
     }
 }
 
@@ -179,9 +179,7 @@
     // Ends forgotten by a poll of an earlier life, flushes dropped at a lapse, watches from before a claim, jobs that
     // a cut-off holder learned of, a thawed holder beside a host in a new life, cancellations forgotten by adoption or told to nobody.
     for seed in [10, 33, 42, 50, 62, 69, 120, 282, 291, 438, 925, 988, 1_375, 1_503, 1_527, 9_076, 20_296] {
-        let mut plan = Plan::default();
-        draw_faults(&mut plan, &mut SmallRng::seed_from_u64(seed));
-        let found = Sim::new(seed, plan).play();
+        let found = Sim::new(seed, Plan::draw(seed, Workload::Plain)).play();
         assert!(found.is_empty(), "seed {seed}: {}", found[0]);
     }
 }
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -5,30 +5,36 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use cassiahoist_standins::sim::{Plan, Sim, draw_faults};
+use cassiahoist_standins::sim::{Plan, Sim};
 use cassiahoist_standins::verdict::Violation;
+use cassiahoist_standins::workload::Workload;
 use cassiahoist_world::app::App;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 #[derive(Clone, Debug)]
 struct Args {
     seeds: u64,
     from: u64,
     seed: Option<u64>,
+    varied: bool,
+}
+
+impl Args {
+    fn workload(&self) -> Workload {
+        if self.varied { Workload::Varied } else { Workload::Plain }
+    }
 }
 
 fn args() -> OptionParser<Args> {
     let seeds = long("seeds").help("Number of seeds").argument("N").fallback(200);
     let from = long("from").help("First seed").argument("N").fallback(1);
     let seed = long("seed").help("Plays one seed and prints its log").argument("N").optional();
-    construct!(Args { seeds, from, seed }).to_options().descr("Seeded days of faults")
+    let varied = long("varied").help("With --seed: the day with several pools, labels and changes").switch();
+    construct!(Args { seeds, from, seed, varied }).to_options().descr("Seeded days of faults")
 }
 
-/// Plays one seed.
-fn play(seed: u64, print: bool) -> Vec<Violation> {
-    let mut plan = Plan::default();
-    draw_faults(&mut plan, &mut SmallRng::seed_from_u64(seed));
+/// Plays one day of a seed.
+fn play(seed: u64, workload: Workload, print: bool) -> Vec<Violation> {
+    let plan = Plan::draw(seed, workload);
     if print {
         for (at_ms, fault) in &plan.faults {
             println!("{at_ms:>7} fault {fault:?}");
@@ -83,19 +89,21 @@
 fn main() -> ExitCode {
     let args = args().run();
     if let Some(seed) = args.seed {
-        for violation in play(seed, true) {
+        for violation in play(seed, args.workload(), true) {
             println!("violation: {violation}");
         }
         return ExitCode::SUCCESS;
     }
     let mut violations = 0;
     for seed in args.from..args.from + args.seeds {
-        let found = play(seed, false);
-        violations += found.len();
-        for violation in found.iter().take(2) {
-            println!("seed {seed}: {violation}");
+        for workload in [Workload::Plain, Workload::Varied] {
+            let found = play(seed, workload, false);
+            violations += found.len();
+            for violation in found.iter().take(2) {
+                println!("seed {seed}, {workload:?}: {violation}");
+            }
         }
     }
-    println!("prove: 18 scenarios, {} seeds, {violations} violations", args.seeds);
+    println!("prove: {} scenarios, {} seeds, {violations} violations", args.seeds * 2, args.seeds);
     if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -12,8 +12,8 @@
 use cassiahoist_standins::cell::{DaemonProcess, build_daemon, start_daemon};
 use cassiahoist_standins::server::SharedPlatform;
 use cassiahoist_standins::trace::Fact;
-use cassiahoist_standins::verdict::{Promise, judge};
-use cassiahoist_standins::workload::{Job, QUEUE_HOST, QUEUE_PATHS, draw_job};
+use cassiahoist_standins::verdict::{Promise, Scope, judge};
+use cassiahoist_standins::workload::{Job, QUEUE_HOST, QUEUE_PATHS, Workload, draw_job};
 use cassiahoist_traffic::http_client::{Exchange, HttpClient};
 use http_body_util::Full;
 use hyper::{Method, Request};
@@ -189,7 +189,7 @@
     let mut following = Vec::new();
     let mut killed = false;
     while start.elapsed() < traffic {
-        let job = draw_job(&mut rng);
+        let job = draw_job(&mut rng, Workload::Plain);
         platform.with(|platform, _| platform.truth.jobs.insert(job.id, job.clone()));
         let server = rng.random_range(0..DAEMONS);
         following.push(tokio::spawn(caller.clone().follow(job, server, start + traffic + FINISH)));
@@ -213,9 +213,11 @@
 
 /// Prints what became of the jobs; tells whether every promise was kept.
 fn report(platform: &SharedPlatform, tally: Tally) -> bool {
-    let (found, now_ms) =
+    let (mut found, now_ms) =
         platform.with(|platform, now_ms| (judge(&platform.trace, &platform.truth, now_ms), now_ms));
-    for violation in found.iter().filter(|violation| violation.promise != Promise::Gang) {
+    // A daemon is killed, so that promises of daemons in touch and of gangs can't be judged here.
+    found.retain(|violation| violation.promise != Promise::Gang && violation.scope == Scope::Always);
+    for violation in &found {
         println!("quickstart: {violation}");
     }
     println!(
@@ -228,7 +230,7 @@
         "quickstart: {} sent, {} answered, {} refused, {lost} lost, {doubled} doubled",
         tally.sent, tally.answered, tally.refused
     );
-    found.iter().all(|violation| violation.promise == Promise::Gang) && tally.unknown == 0
+    found.is_empty() && tally.unknown == 0
 }
 
 fn main() -> ExitCode {
