--- a/crates/cassiahoist_core/src/error.rs
+++ b/crates/cassiahoist_core/src/error.rs
@@ -21,6 +21,8 @@
     BadRequest,
     /// The body is larger than accepted.
     BodyTooLarge,
+    /// A task needs more than any host of the queue's pool has.
+    SizeTooLarge,
     /// No queue is configured for this host and path.
     UnknownQueue,
     /// No job has this identity.
@@ -86,6 +88,7 @@
 answer_rows! {
     BadRequest, NotRun, 400, false, "the message is not well formed";
     BodyTooLarge, NotRun, 413, false, "the body is larger than accepted here";
+    SizeTooLarge, NotRun, 422, false, "a task needs more than any host of the queue's pool has";
     UnknownQueue, NotRun, 404, false, "no queue is configured for this host and path";
     UnknownJob, NotRun, 410, false, "no job has this identity";
     NotConfigured, NotRun, 503, true, "this daemon has no configuration yet";
--- a/crates/cassiahoist_hosts/src/entries.rs
+++ b/crates/cassiahoist_hosts/src/entries.rs
@@ -78,7 +78,7 @@
     }
     let Some(host) = world.hosts.get_mut(key) else { return };
     host.missing_since_ms = None;
-    host.report = report;
+    world.hosts.set_report(key, report);
     note_leaving(world, key, now_ms);
 }
 
--- a/crates/cassiahoist_jobs/src/ask.rs
+++ b/crates/cassiahoist_jobs/src/ask.rs
@@ -32,9 +32,9 @@
     let counted = if world.holding.is_holding() {
         Some(count_pending(world).get(queue).copied().unwrap_or_default())
     } else {
-        match &world.front.pending {
-            Some((pending, at_ms)) if now_ms <= at_ms + PENDING_AGE_MS => {
-                Some(pending.get(queue).copied().unwrap_or_default())
+        match &world.front.holder_news {
+            Some(news) if now_ms <= news.heard_ms + PENDING_AGE_MS => {
+                Some(news.pending.get(queue).copied().unwrap_or_default())
             }
             _ => None,
         }
--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -3,6 +3,7 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::front::{CallAction, CallNumber, CallStage, FrontAnswer, FrontCall, OpenCall};
 use cassiahoist_world::prelude::*;
+use cassiahoist_world::spec::JobSpec;
 
 use crate::{accept, ask, cancel, relay};
 
@@ -59,6 +60,7 @@
         CallAction::Submit(Err(reason)) => refuse(ErrorKind::BadRequest, reason),
         CallAction::Submit(Ok(spec)) => {
             spec.check().map_err(|error| (ErrorKind::BadRequest, error.to_string()))?;
+            check_sizes(world, &queue.policy.pool, spec, now_ms)?;
             accept::accept_job(world, call, job, &queue.policy, spec, now_ms);
             Ok(())
         }
@@ -73,6 +75,27 @@
     }
 }
 
+/// Oldest word of the holder about the sizes of hosts that is relied on, in milliseconds.
+const SIZES_AGE_MS: u64 = 5_000;
+
+/// Refuses a job of which a task is larger than every host that its pool is known to have had.
+fn check_sizes(world: &World, pool: &PoolName, spec: &JobSpec, now_ms: u64) -> Result<(), Refusal> {
+    let news = world.front.holder_news.as_ref().filter(|news| now_ms <= news.heard_ms + SIZES_AGE_MS);
+    let known =
+        if world.holding.is_holding() { Some(world.hosts.largest()) } else { news.map(|news| &news.largest) };
+    let Some(largest) = known.and_then(|known| known.get(pool)) else { return Ok(()) };
+    match spec.steps.iter().position(|step| !step.size.fits_within(largest)) {
+        Some(number) => {
+            let size = spec.steps[number].size;
+            Err((
+                ErrorKind::SizeTooLarge,
+                format!("step {number} needs {size:?}, hosts have up to {largest:?}"),
+            ))
+        }
+        None => Ok(()),
+    }
+}
+
 /// Forgets calls whose callers went away before a job was stored.
 pub fn drop_gone_callers(world: &mut World, _now_ms: u64) {
     for number in std::mem::take(&mut world.inbox.callers_gone) {
--- a/crates/cassiahoist_jobs/src/heartbeat.rs
+++ b/crates/cassiahoist_jobs/src/heartbeat.rs
@@ -21,7 +21,7 @@
     counts
 }
 
-/// Tells every daemon who holds the slice and how many jobs wait.
+/// Tells every daemon who holds the slice, how many jobs wait and how large hosts are.
 pub fn send_heartbeat(world: &mut World, now_ms: u64) {
     let Some(fence) = world.holding.fence() else { return };
     if !world.holding.is_holding() {
@@ -34,10 +34,11 @@
     world.front.heartbeat_next_ms = now_ms + HEARTBEAT_INTERVAL_MS;
     world.wake_by(now_ms + HEARTBEAT_INTERVAL_MS);
     let pending = count_pending(world);
+    let largest = world.hosts.largest().clone();
     let peers = world.members.peer_addresses(&world.local.incarnation.member);
     let addresses: Vec<String> = peers.map(str::to_owned).collect();
     for address in addresses {
-        let message = PeerMessage::Heartbeat { fence, pending: pending.clone() };
+        let message = PeerMessage::Heartbeat { fence, pending: pending.clone(), largest: largest.clone() };
         world.emit(Effect::Peer { address, message });
     }
 }
--- a/crates/cassiahoist_jobs/src/progress.rs
+++ b/crates/cassiahoist_jobs/src/progress.rs
@@ -17,6 +17,9 @@
 /// Pause between flushes, in milliseconds, in which ends gather.
 const FLUSH_PAUSE_MS: u64 = 40;
 
+/// How much longer ends gather while no job has become final, in milliseconds, since nobody waits for the record.
+const GATHER_MS: u64 = 80;
+
 /// Pause after a failed flush, in milliseconds.
 const RETRY_MS: u64 = 200;
 
@@ -30,8 +33,9 @@
     if !world.holding.is_holding() || world.commits.flush.is_some() || !waiting {
         return;
     }
-    if now_ms < world.commits.next_ms {
-        return world.wake_by(world.commits.next_ms);
+    let due_ms = world.commits.next_ms + if has_final_news(world) { 0 } else { GATHER_MS };
+    if now_ms < due_ms {
+        return world.wake_by(due_ms);
     }
     world.commits.next_ms = now_ms + FLUSH_PAUSE_MS;
     world.commits.ends_waiting = false;
@@ -53,6 +57,12 @@
     world.commits.flush = Some(flush);
 }
 
+/// Tells whether a job has become final that the store does not show so.
+fn has_final_news(world: &World) -> bool {
+    let jobs = world.jobs.dirty.iter().filter_map(|key| world.jobs.get(*key));
+    jobs.into_iter().any(|job| job.state.is_final() && job.recorded_state != job.state)
+}
+
 fn send_commit(world: &mut World, group: &[JobKey], fence: Fence, now_ms: u64) -> OpenCommit {
     world.commits.last_number += 1;
     let number = world.commits.last_number;
--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -9,8 +9,11 @@
 /// How long the lease lasts without renewal, in milliseconds; bounds the time to notice a dead holder.
 const LEASE_TTL_MS: u64 = 2_000;
 
-/// Pause between renewals, in milliseconds; three may fail before the lease ends.
-const KEEP_INTERVAL_MS: u64 = 500;
+/// Pause between renewals at the holder, in milliseconds; three may fail before the lease ends.
+const HOLDER_KEEP_INTERVAL_MS: u64 = 500;
+
+/// Pause between renewals at other daemons, in milliseconds; one may fail, and a lapse costs them only their entry.
+const KEEP_INTERVAL_MS: u64 = 800;
 
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 250;
@@ -25,7 +28,7 @@
     });
     for answered in answers {
         world.store.lease_in_flight = false;
-        world.store.lease_next_ms = now_ms + KEEP_INTERVAL_MS;
+        world.store.lease_next_ms = now_ms + keep_interval_ms(world);
         match answered.outcome {
             Ok(StoreReply::Leased { lease, .. }) => {
                 world.store.lease = Some(lease);
@@ -38,6 +41,11 @@
     }
 }
 
+/// Gives the pause until the next renewal, in milliseconds.
+fn keep_interval_ms(world: &World) -> u64 {
+    if world.holding.fence().is_some() { HOLDER_KEEP_INTERVAL_MS } else { KEEP_INTERVAL_MS }
+}
+
 /// The store ended the lease and with it this daemon's entries.
 fn lose_lease(world: &mut World, now_ms: u64) {
     world.store.lease = None;
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -1,6 +1,7 @@
 //! The cell as the store shows it: members, the claim and its number.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::front::HolderNews;
 use cassiahoist_world::holding::HoldingEvent;
 use cassiahoist_world::inbox::RangeNews;
 use cassiahoist_world::peer::PeerMessage;
@@ -171,11 +172,11 @@
 /// Takes in what the holder tells every daemon.
 pub fn read_heartbeats(world: &mut World, now_ms: u64) {
     for (_, message) in world.inbox.take_peers(|message| matches!(message, PeerMessage::Heartbeat { .. })) {
-        let PeerMessage::Heartbeat { fence, pending } = message else { continue };
+        let PeerMessage::Heartbeat { fence, pending, largest } = message else { continue };
         if fence < world.holding.greatest_fence {
             continue;
         }
-        world.front.pending = Some((pending, now_ms));
+        world.front.holder_news = Some(HolderNews { pending, largest, heard_ms: now_ms });
         if world.holding.fence().is_some_and(|own| own < fence) {
             step_down(world, Cause::Succeeded { by: fence }, now_ms);
         }
--- a/crates/cassiahoist_standins/tests/holder.rs
+++ b/crates/cassiahoist_standins/tests/holder.rs
@@ -476,6 +476,55 @@
     }));
 }
 
+/// Gives the answer to a call in the last tick.
+fn answer_to(holder: &Holder, wanted: u64) -> Option<FrontAnswer> {
+    holder.effects.iter().find_map(|effect| match effect {
+        Effect::Answer { call, answer } if *call == wanted => Some(*answer),
+        _ => None,
+    })
+}
+
+const TOO_LARGE: FrontAnswer = FrontAnswer::Error { kind: ErrorKind::SizeTooLarge, retry_ms: None };
+
+#[test]
+fn a_size_that_no_host_has_is_refused_and_not_stored() {
+    let mut holder = Holder::new(1);
+    configure(&mut holder);
+    submit(&mut holder, 9, br#"{"steps":[{"count":1,"cpu":8000},{"count":1,"cpu":8001}]}"#);
+    assert_eq!(answer_to(&holder, 9), Some(TOO_LARGE));
+    assert!(holder.commits(|call| matches!(call.purpose, StorePurpose::Accept(_))).is_empty());
+    submit(&mut holder, 10, br#"{"steps":[{"count":20,"cpu":8000}]}"#);
+    assert_eq!(answer_to(&holder, 10), None);
+    assert_eq!(holder.commits(|call| matches!(call.purpose, StorePurpose::Accept(_))).len(), 1);
+}
+
+#[test]
+fn daemons_learn_the_sizes_of_hosts_from_the_holder() {
+    let mut holder = Holder::new(1);
+    holder.app.world_mut().members.insert(MemberRecord {
+        incarnation: "edge-1#1".parse().unwrap(),
+        peer_address: "10.1.0.1:7720".into(),
+        domain: FailureDomain::new("obihiro").unwrap(),
+    });
+    holder.tick(10);
+    let heartbeat = holder.effects.iter().find_map(|effect| match effect {
+        Effect::Peer { message: message @ PeerMessage::Heartbeat { .. }, .. } => Some(message.clone()),
+        _ => None,
+    });
+    let mut server = Holder::standby();
+    configure(&mut server);
+    let large = br#"{"steps":[{"count":1,"cpu":9000}]}"#;
+    submit(&mut server, 8, large);
+    assert_eq!(answer_to(&server, 8), None, "nothing is known of hosts yet");
+    let from = Sender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    server.hear(Event::Peer { from, message: heartbeat.unwrap() });
+    submit(&mut server, 9, large);
+    assert_eq!(answer_to(&server, 9), Some(TOO_LARGE));
+    server.tick(6_000);
+    submit(&mut server, 10, large);
+    assert_eq!(answer_to(&server, 10), None, "the holder's word is too old");
+}
+
 #[test]
 fn a_daemon_that_the_store_turns_away_asks_a_peer() {
     let mut holder = Holder::new(0);
@@ -647,3 +696,29 @@
         assert!(!holder.orders().any(|order| matches!(order.order, Order::Stop { .. })), "round {round}");
     }
 }
+
+#[test]
+fn an_end_that_makes_no_job_final_waits_for_others_before_it_is_recorded() {
+    let recorded_after_ms = |tasks: u32| {
+        let mut holder = Holder::new(1);
+        holder.add_job(1, vec![step(tasks)]);
+        holder.tick(10);
+        confirm_starts(&mut holder);
+        holder.tick(300);
+        // What came before is recorded, just now.
+        let now_ms = holder.now_ms;
+        let world = holder.app.world_mut();
+        world.jobs.dirty.clear();
+        world.commits.flush = None;
+        world.commits.next_ms = now_ms + 40;
+        let from_ms = holder.now_ms;
+        holder.list(0, ends(vec![end(1, &task_name(1, 0, 0), 1, RunEnding::Done)]));
+        while holder.commits(|call| matches!(call.purpose, StorePurpose::Progress(_))).is_empty() {
+            holder.tick(1);
+            assert!(holder.now_ms < from_ms + 1_000, "nothing is recorded");
+        }
+        holder.now_ms - from_ms
+    };
+    assert!(recorded_after_ms(1) <= 40, "its caller waits for the record");
+    assert!(recorded_after_ms(2) > 40);
+}
--- a/crates/cassiahoist_standins/tests/support/mod.rs
+++ b/crates/cassiahoist_standins/tests/support/mod.rs
@@ -93,6 +93,11 @@
         Self { app, now_ms: 1_000, effects: Vec::new() }
     }
 
+    /// Creates a daemon that holds nothing.
+    pub fn standby() -> Self {
+        Self { app: build_app(new_local()), now_ms: 1_000, effects: Vec::new() }
+    }
+
     /// Lets time pass and runs a tick.
     pub fn tick(&mut self, passed_ms: u64) -> &[Effect] {
         self.now_ms += passed_ms;
--- a/crates/cassiahoist_world/src/front.rs
+++ b/crates/cassiahoist_world/src/front.rs
@@ -161,6 +161,17 @@
     }
 }
 
+/// What the holder tells every daemon.
+#[derive(Clone, Debug, Default)]
+pub struct HolderNews {
+    /// Waiting jobs by queue.
+    pub pending: FxHashMap<QueueName, u64>,
+    /// The most of each resource that a host of each pool has.
+    pub largest: FxHashMap<PoolName, Resources>,
+    /// When it was heard, in monotonic milliseconds.
+    pub heard_ms: u64,
+}
+
 /// Calls under way at this daemon.
 #[derive(Debug, Default)]
 pub struct FrontTable {
@@ -170,8 +181,8 @@
     pub relayed: u64,
     /// When the holder tells every daemon next, in monotonic milliseconds.
     pub heartbeat_next_ms: u64,
-    /// Waiting jobs by queue, as the holder last said, and when, in monotonic milliseconds.
-    pub pending: Option<(FxHashMap<QueueName, u64>, u64)>,
+    /// What the holder last said.
+    pub holder_news: Option<HolderNews>,
 }
 
 impl FrontTable {
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -198,17 +198,38 @@
 pub struct HostTable {
     rows: SlotMap<HostKey, Host>,
     by_name: FxHashMap<HostName, HostKey>,
+    largest: FxHashMap<PoolName, Resources>,
 }
 
 impl HostTable {
     /// Adds a host, in place of an earlier row of the same name.
     pub fn insert(&mut self, host: Host) -> HostKey {
+        self.note_capacity(&host.report);
         let name = host.report.name.clone();
         let key = self.rows.insert(host);
         self.by_name.insert(name, key);
         key
     }
 
+    /// Takes over what a host says of itself.
+    pub fn set_report(&mut self, key: HostKey, report: HostReport) {
+        self.note_capacity(&report);
+        if let Some(host) = self.rows.get_mut(key) {
+            host.report = report;
+        }
+    }
+
+    fn note_capacity(&mut self, report: &HostReport) {
+        let largest = self.largest.entry(report.pool.clone()).or_default();
+        *largest = largest.max(&report.capacity);
+    }
+
+    /// Gives the most of each resource that a host of each pool has had since the table was filled.
+    #[must_use]
+    pub fn largest(&self) -> &FxHashMap<PoolName, Resources> {
+        &self.largest
+    }
+
     /// Removes a host.
     pub fn remove(&mut self, key: HostKey) -> Option<Host> {
         let host = self.rows.remove(key)?;
@@ -222,6 +243,7 @@
     pub fn clear(&mut self) {
         self.rows.clear();
         self.by_name.clear();
+        self.largest.clear();
     }
 
     /// Finds a host by name.
--- a/crates/cassiahoist_world/src/peer.rs
+++ b/crates/cassiahoist_world/src/peer.rs
@@ -75,5 +75,7 @@
         fence: Fence,
         /// Jobs that have not begun, by queue.
         pending: FxHashMap<QueueName, u64>,
+        /// The most of each resource that a host of each pool has.
+        largest: FxHashMap<PoolName, Resources>,
     },
 }
