--- a/crates/cassiahoist_core/src/bounds.rs
+++ b/crates/cassiahoist_core/src/bounds.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Times that the platform guarantees or asks for, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Longest time that a host's runs outlive the last order to it.
--- a/crates/cassiahoist_core/src/error.rs
+++ b/crates/cassiahoist_core/src/error.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a caller may conclude about its job from an error.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The job was not accepted and never runs.
@@ -14,7 +15,8 @@
 }
 
 /// Every way in which a call can fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ErrorKind {
     /// The message is not well formed.
--- a/crates/cassiahoist_core/src/name.rs
+++ b/crates/cassiahoist_core/src/name.rs
@@ -241,11 +241,13 @@
 string_serde!(Incarnation);
 
 /// A group of hosts that one daemon gives work to at a time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SliceId(pub u16);
 
 /// A fencing token: greater for each later holder of a slice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Fence(pub u64);
 
 impl fmt::Display for Fence {
--- a/crates/cassiahoist_core/src/resources.rs
+++ b/crates/cassiahoist_core/src/resources.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of every resource that a host has or a task needs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Resources {
     /// Thousandths of a processor.
--- a/crates/cassiahoist_settings/src/lib.rs
+++ b/crates/cassiahoist_settings/src/lib.rs
@@ -29,7 +29,8 @@
 }
 
 /// Settings of one daemon.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Who the daemon is.
@@ -47,7 +48,8 @@
 }
 
 /// Who the daemon is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     /// A name that is unique in the cell.
@@ -65,7 +67,8 @@
 }
 
 /// Where the daemon listens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// For callers.
@@ -79,7 +82,8 @@
 }
 
 /// Where the platform is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// The key-value store.
@@ -90,7 +94,8 @@
 }
 
 /// The least severity that is logged.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogLevel {
     /// Everything, each start and end of a run included.
@@ -105,7 +110,8 @@
 }
 
 /// How the daemon logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// The least severity that is logged.
--- a/crates/cassiahoist_world/src/advice.rs
+++ b/crates/cassiahoist_world/src/advice.rs
@@ -33,7 +33,8 @@
 }
 
 /// A call for advice.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AdviceCall {
     /// Number of the call.
     pub call: u64,
@@ -46,7 +47,8 @@
 }
 
 /// A host that may run the step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct GoodHost {
     /// The host.
     pub host: HostName,
@@ -55,7 +57,8 @@
 }
 
 /// An answer to a call for advice.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AdviceAnswer {
     /// Number of the call.
     pub call: u64,
--- a/crates/cassiahoist_world/src/config.rs
+++ b/crates/cassiahoist_world/src/config.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What advice on a queue's steps costs.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AdviceTerms {
     /// Time of each call, in milliseconds.
     pub call_ms: f64,
@@ -17,7 +18,8 @@
 }
 
 /// The policy of a queue, stored with each of its jobs.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct QueuePolicy {
     /// The queue.
     pub queue: QueueName,
--- a/crates/cassiahoist_world/src/front.rs
+++ b/crates/cassiahoist_world/src/front.rs
@@ -40,7 +40,8 @@
 }
 
 /// What a caller is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum FrontAnswer {
     /// The job is stored.
     Accepted,
@@ -60,7 +61,8 @@
 }
 
 /// What a daemon asks a peer to do since the store does not answer it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum RelayAction {
     /// Stores a job.
     Store(Arc<JobRecord>),
--- a/crates/cassiahoist_world/src/peer.rs
+++ b/crates/cassiahoist_world/src/peer.rs
@@ -11,7 +11,8 @@
 use crate::record::{JobRecord, JobState};
 
 /// What a holder knows about a job that a peer asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum HolderView {
     /// The job stands like this.
     State(JobState),
@@ -29,7 +30,8 @@
 }
 
 /// A message between daemons.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// A job was stored.
     JobStored(Arc<JobRecord>),
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -10,7 +10,8 @@
 use crate::spec::JobSpec;
 
 /// A job as accepted; never changed afterwards.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobRecord {
     /// The job.
     pub id: JobId,
@@ -26,7 +27,8 @@
 }
 
 /// How a job stands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobState {
     /// No task has started.
@@ -51,7 +53,8 @@
 }
 
 /// Progress of one step of one occurrence.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StepProgress {
     /// Numbers of tasks that are done, as bits.
     pub done: Vec<u64>,
@@ -88,7 +91,8 @@
 }
 
 /// Progress of a job, written by the holder of its slice.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProgressRecord {
     /// How the job stands.
     pub state: JobState,
@@ -101,7 +105,8 @@
 }
 
 /// Who holds a slice.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// The holder.
     pub holder: Incarnation,
@@ -112,7 +117,8 @@
 }
 
 /// The number of the latest claim, kept when the claim itself lapses.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TermRecord {
     /// Number of the latest claim.
     pub term: u64,
@@ -121,7 +127,8 @@
 }
 
 /// A live daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Name and life.
     pub incarnation: Incarnation,
@@ -132,7 +139,8 @@
 }
 
 /// A host that was given orders and may still run something.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RosterHost {
     /// Its name.
     pub name: HostName,
@@ -143,7 +151,8 @@
 }
 
 /// Every host that may run work of a slice.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HostRoster {
     /// The hosts.
     pub hosts: Vec<RosterHost>,
--- a/crates/cassiahoist_world/src/spec.rs
+++ b/crates/cassiahoist_world/src/spec.rs
@@ -12,7 +12,8 @@
 pub const MAX_ARGUMENT_BYTES: usize = 4_000;
 
 /// One step of a job.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StepSpec {
     /// Number of tasks.
     pub tasks: u32,
@@ -57,7 +58,8 @@
 }
 
 /// When a repeated job runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Repeat {
     /// Due time of the first occurrence, in milliseconds since the epoch.
     pub first_run_unix_ms: u64,
@@ -76,7 +78,8 @@
 }
 
 /// A job as submitted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobSpec {
     /// What is passed to each task.
     pub argument: String,
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -10,7 +10,8 @@
 use crate::record::{ClaimRecord, HostRoster, JobRecord, MemberRecord, ProgressRecord, TermRecord};
 
 /// A range of keys that is listed and watched together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum KeySpace {
     /// What operators write.
     Operators,
@@ -25,7 +26,8 @@
 }
 
 /// A key of the store.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum StoreKey {
     /// The operators' configuration.
     Config,
