Let operators declare defaults and exceptions that rule placement

Cause: the product is steered by fleet-wide defaults and a short list of exceptions with reasons; hoistctl could only check settings, and nothing an operator declared reached placement. Change: cassiahoist_declarations reads, joins, checks and compares YAML files and resolves rules (packing, limits per host and queue, share of a host, cordon). hoistctl declarations check, show, diff, apply; a daemon stores them on condition of their revision; every daemon follows them with the cell, so that no further watch is needed. Systems rule hosts and steps by them. Unusable or older ones change nothing that is in force. Tests of single systems are one test program now. Ruled out: the operators' own key range, which daemons may not write; a store client in hoistctl, since daemons have one. Conclusion: without declarations everything is ruled as before.

--- a/crates/cassiahoist_config/src/lib.rs
+++ b/crates/cassiahoist_config/src/lib.rs
@@ -1,4 +1,6 @@
-//! The configuration in force: only rising versions are taken.
+//! The configuration in force, of which only rising versions are taken, and what operators declared.
+
+mod declared;
 
 use std::sync::Arc;
 
@@ -14,7 +16,12 @@
 
 impl Plugin for ConfigPlugin {
     fn build(&self, app: &mut App) {
-        app.add_system(TickSet::Configuration, apply_configuration);
+        app.add_system(TickSet::Configuration, apply_configuration)
+            .add_system(TickSet::Configuration, declared::store_declarations)
+            .add_system(TickSet::Configuration, declared::read_declare_answers)
+            // The cell and hosts are read before.
+            .add_system(TickSet::Queue, declared::apply_declarations)
+            .add_system(TickSet::Queue, declared::rule_hosts);
     }
 }
 
--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -95,4 +95,7 @@
     613 ProgressConflict Warning "Progress was written by someone else.";
     700 ConfigInForce Info "A configuration is in force.";
     701 ConfigRejected Error "A configuration could not be read.";
+    702 DeclarationsStored Info "An operator's declarations were stored, or not.";
+    703 DeclarationsInForce Info "Declarations are in force.";
+    704 DeclarationsRejected Error "Stored declarations can't be used; those in force stay so.";
 }
--- a/crates/cassiahoist_core/src/resources.rs
+++ b/crates/cassiahoist_core/src/resources.rs
@@ -60,6 +60,17 @@
         }
     }
 
+    /// Takes a share, in percent.
+    #[must_use]
+    pub fn percent(&self, percent: u8) -> Self {
+        let share = |amount: u64| amount.saturating_mul(u64::from(percent)) / 100;
+        Self {
+            cpu_milli: share(self.cpu_milli),
+            memory_mib: share(self.memory_mib),
+            accelerators: share(u64::from(self.accelerators)) as u32,
+        }
+    }
+
     /// Takes the larger amount of each resource.
     #[must_use]
     pub fn max(&self, other: &Self) -> Self {
--- a/crates/cassiahoist_ctl/src/ask.rs
+++ b/crates/cassiahoist_ctl/src/ask.rs
@@ -1,11 +1,11 @@
-//! Asks a daemon for a page.
+//! Asks a daemon for a page, or puts one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_traffic::http_client::{Exchange, HttpClient};
-use hyper::Request;
+use hyper::{Method, Request};
 
 /// How long a daemon may take to answer.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -15,11 +15,24 @@
 /// # Errors
 /// [`HoistError::Unreachable`] if it gives none.
 pub(crate) fn ask_page(address: SocketAddr, path: &str) -> Result<String, HoistError> {
+    exchange(address, Method::GET, path, String::new())
+}
+
+/// Puts one of a daemon's operators' pages; gives its answer.
+///
+/// # Errors
+/// [`HoistError::Unreachable`] if it is not taken, with the daemon's reason.
+pub(crate) fn put_page(address: SocketAddr, path: &str, body: String) -> Result<String, HoistError> {
+    exchange(address, Method::PUT, path, body)
+}
+
+fn exchange(address: SocketAddr, method: Method, path: &str, body: String) -> Result<String, HoistError> {
     let failed = |reason: String| HoistError::Unreachable(format!("{address}: {reason}"));
     let request = Request::builder()
+        .method(method)
         .uri(path)
         .header("host", "daemon")
-        .body(http_body_util::Full::<bytes::Bytes>::default())
+        .body(http_body_util::Full::<bytes::Bytes>::from(body))
         .map_err(|error| failed(error.to_string()))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/cassiahoist_ctl/src/commands.rs
+++ b/crates/cassiahoist_ctl/src/commands.rs
@@ -9,13 +9,14 @@
 use cassiahoist_settings::read_settings;
 
 use crate::ask::ask_page;
+use crate::declarations::{self, DeclarationsCommand};
 use crate::render::render_page;
 
 /// Exit code if a daemon can't be asked or knows nothing.
-const EXIT_UNANSWERED: u8 = 1;
+pub(crate) const EXIT_UNANSWERED: u8 = 1;
 
-/// Exit code for bad settings.
-const EXIT_BAD_SETTINGS: u8 = 2;
+/// Exit code for bad settings or declarations.
+pub(crate) const EXIT_BAD_SETTINGS: u8 = 2;
 
 /// What the command line asks for.
 #[derive(Clone, Debug)]
@@ -26,11 +27,13 @@
     Status { json: bool, address: SocketAddr },
     /// Shows all tables of a daemon.
     Dump { address: SocketAddr },
+    /// Checks, compares and applies declarations.
+    Declarations(DeclarationsCommand),
     /// Tells why a job waits or how it ended.
     Explain { json: bool, address: SocketAddr, job: JobId },
 }
 
-fn address() -> impl Parser<SocketAddr> {
+pub(crate) fn address() -> impl Parser<SocketAddr> {
     positional("ADDRESS").help("Operators' address of a daemon, IP:PORT")
 }
 
@@ -64,7 +67,8 @@
         .descr("Tell why a job waits or how it ended; ask the holder, which status names")
         .footer("Example: hoistctl explain 10.1.0.13:7735 5c0e7a21d94b36f8")
         .command("explain");
-    construct!([check, status, dump, explain])
+    let declarations = declarations::parser().map(Command::Declarations);
+    construct!([check, declarations, status, dump, explain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operators' tool of cassiahoist")
@@ -75,6 +79,7 @@
 pub fn run() -> ExitCode {
     match parser().run() {
         Command::Check { files } => check(&files),
+        Command::Declarations(command) => ExitCode::from(declarations::run(&command)),
         Command::Status { json, address } => show(address, "/status", json),
         Command::Dump { address } => show(address, "/dump", true),
         Command::Explain { json, address, job } => show(address, &format!("/explain/{job}"), json),
--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -1,7 +1,10 @@
 //! Views of the tables for operators, as JSON.
 
+use std::sync::Arc;
+
 use cassiahoist_core::prelude::*;
 use cassiahoist_traffic::control_link::View;
+use cassiahoist_traffic::declarations::Declared;
 use cassiahoist_world::jobs::{Step, StepState};
 use cassiahoist_world::world::World;
 use serde_json::{Value, json};
@@ -13,6 +16,7 @@
         View::Status => status(world).to_string(),
         View::Dump => dump(world).to_string(),
         View::Explain(job) => explain(world, job).to_string(),
+        View::Declarations => declarations(world),
     }
 }
 
@@ -21,12 +25,19 @@
     !world.local.is_stopping() && world.config.in_force.is_some()
 }
 
+fn declarations(world: &World) -> String {
+    let declared =
+        Declared { revision: world.declared.revision, declarations: Arc::clone(&world.declared.in_force) };
+    json!(declared).to_string()
+}
+
 fn status(world: &World) -> Value {
     let members: Vec<String> = world.members.iter().map(|member| member.incarnation.to_string()).collect();
     json!({
         "daemon": world.local.incarnation.to_string(),
         "stopping": world.local.is_stopping(),
         "store_failing_since_ms": world.store.failing_since_ms,
+        "declarations_revision": world.declared.revision,
         "config_version": world.config.in_force.as_ref().map(|config| config.version),
         "holder": world.holding.claim.as_ref().map(|(claim, _)| claim.holder.to_string()),
         "fence": world.holding.fence().map(|fence| fence.0),
--- /dev/null
+++ b/crates/cassiahoist_declarations/src/diff.rs
@@ -0,0 +1,61 @@
+//! What would change if declarations were applied.
+
+use std::fmt;
+
+use crate::{Declarations, Exception};
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A default gets another value; nothing if it is not set.
+    Default {
+        /// The rule.
+        rule: &'static str,
+        /// Its value before.
+        before: Option<String>,
+        /// Its value after.
+        after: Option<String>,
+    },
+    /// An exception is new.
+    Added(Exception),
+    /// An exception is gone.
+    Removed(Exception),
+}
+
+fn write_exception(f: &mut fmt::Formatter<'_>, sign: char, exception: &Exception) -> fmt::Result {
+    let rules: Vec<String> =
+        exception.set.entries().into_iter().map(|(name, value)| format!("{name}={value}")).collect();
+    write!(f, "{sign} {}: {} ({})", exception.select, rules.join(" "), exception.reason.trim())
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Default { rule, before, after } => {
+                let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "unset".into());
+                write!(f, "~ default {rule}: {} -> {}", text(before), text(after))
+            }
+            Self::Added(exception) => write_exception(f, '+', exception),
+            Self::Removed(exception) => write_exception(f, '-', exception),
+        }
+    }
+}
+
+/// Lists what would change.
+#[must_use]
+pub fn diff(before: &Declarations, after: &Declarations) -> Vec<Change> {
+    let (old, new) = (before.defaults.entries(), after.defaults.entries());
+    let value = |entries: &[(&'static str, String)], rule: &str| {
+        entries.iter().find(|(name, _)| *name == rule).map(|(_, value)| value.clone())
+    };
+    let mut rules: Vec<&'static str> = old.iter().chain(&new).map(|(name, _)| *name).collect();
+    rules.sort_unstable();
+    rules.dedup();
+    let defaults = rules.into_iter().filter_map(|rule| {
+        let (before, after) = (value(&old, rule), value(&new, rule));
+        (before != after).then_some(Change::Default { rule, before, after })
+    });
+    let removed = before.exceptions.iter().filter(|exception| !after.exceptions.contains(exception));
+    let added = after.exceptions.iter().filter(|exception| !before.exceptions.contains(exception));
+    defaults.chain(removed.cloned().map(Change::Removed)).chain(added.cloned().map(Change::Added)).collect()
+}
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -42,6 +42,9 @@
         .collect();
     world.members.retain(|name| listed.contains(name));
     world.members.registered = false;
+    if !items.iter().any(|item| item.key == StoreKey::Declared) {
+        world.inbox.declared.push(None);
+    }
     let claimed = items.iter().any(|item| matches!(item.key, StoreKey::Claim(_)));
     if !claimed {
         let known = world.holding.claim.take().map_or(0, |(_, revision)| revision);
@@ -53,6 +56,9 @@
 }
 
 fn read_item(world: &mut World, item: StoreItem, now_ms: u64) {
+    if item.key == StoreKey::Declared {
+        return world.inbox.declared.push(Some(item));
+    }
     match item.value {
         StoreValue::Claim(claim) => read_claim(world, claim, item.revision, now_ms),
         StoreValue::Term(TermRecord { term, holder }) if term >= world.holding.term => {
@@ -131,6 +137,7 @@
                 world.log(LogNote::new(EventId::MemberLeft).with("member", name));
             }
         }
+        StoreKey::Declared => world.inbox.declared.push(None),
         _ => {}
     }
 }
--- a/crates/cassiahoist_placement/src/choose.rs
+++ b/crates/cassiahoist_placement/src/choose.rs
@@ -1,6 +1,7 @@
 //! The choice of a host for a task.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_declarations::Packing;
 use cassiahoist_world::hosts::HostKey;
 
 /// A host that could run the task now.
@@ -22,28 +23,19 @@
     pub failures: u32,
 }
 
-/// How hosts are preferred.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Choice {
-    /// The fullest host that has room, so that room for large tasks stays whole.
-    Pack,
-    /// The emptiest host, so that a loss takes few tasks.
-    Spread,
-}
-
 /// Chooses a host; nothing if there is no candidate.
 #[must_use]
-pub fn choose_host(candidates: impl Iterator<Item = Candidate>, choice: Choice) -> Option<HostKey> {
-    candidates.min_by_key(|candidate| penalty(candidate, choice)).map(|candidate| candidate.host)
+pub fn choose_host(candidates: impl Iterator<Item = Candidate>, packing: Packing) -> Option<HostKey> {
+    candidates.min_by_key(|candidate| penalty(candidate, packing)).map(|candidate| candidate.host)
 }
 
 /// Orders candidates; the least penalty wins.
-fn penalty(candidate: &Candidate, choice: Choice) -> (bool, bool, bool, u32, u64) {
+fn penalty(candidate: &Candidate, packing: Packing) -> (bool, bool, bool, u32, u64) {
     // In thousandths of the host, so that hosts of all sizes compare.
     let left = (candidate.left.dominant_share(&candidate.capacity) * 1_000.0) as u64;
-    let fullness = match choice {
-        Choice::Pack => left,
-        Choice::Spread => 1_000_u64.saturating_sub(left),
+    let fullness = match packing {
+        Packing::Pack => left,
+        Packing::Spread => 1_000_u64.saturating_sub(left),
     };
     (candidate.failed_there, candidate.disturbs, candidate.far, candidate.failures, fullness)
 }
--- a/crates/cassiahoist_placement/src/gang.rs
+++ b/crates/cassiahoist_placement/src/gang.rs
@@ -6,7 +6,7 @@
 use cassiahoist_world::prelude::*;
 use rustc_hash::FxHashMap;
 
-use crate::place::{open_hosts, start_task};
+use crate::place::{left_of_queue, open_hosts, start_task};
 use crate::terms::StepTerms;
 
 /// Starts a gang if there is room for all of its tasks.
@@ -27,6 +27,9 @@
         return world.wake_by(waits_until_ms);
     }
     let Some(terms) = StepTerms::new(world, step, pool) else { return };
+    if left_of_queue(world, step, &terms) < step.tasks.len() as u32 {
+        return;
+    }
     let Some(hosts) = seat_gang(world, key, &terms, now_ms) else { return };
     let tasks: Vec<TaskKey> = step.tasks.clone();
     let number = step
--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -7,7 +7,7 @@
 mod place;
 mod terms;
 
-pub use choose::{Candidate, Choice, choose_host};
+pub use choose::{Candidate, choose_host};
 
 use cassiahoist_world::prelude::*;
 
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_declarations::Packing;
 use cassiahoist_membership::longest_lease_ms;
 use cassiahoist_runs::{book_run, inherited_may_start};
 use cassiahoist_world::hosts::{Host, HostKey};
@@ -11,7 +12,7 @@
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunState;
 
-use crate::choose::{Candidate, Choice, choose_host};
+use crate::choose::{Candidate, choose_host};
 use crate::gang::place_gang;
 use crate::order::steps_in_order;
 use crate::terms::{StepTerms, pool_of};
@@ -70,6 +71,9 @@
             continue;
         }
         let Some(terms) = StepTerms::new(world, step, &pool) else { return };
+        if left_of_queue(world, step, &terms) == 0 {
+            return;
+        }
         let Some(host) = find_host(world, step, &terms, row, now_ms) else {
             // Tasks of a step are alike, so the next one finds no host either.
             return;
@@ -79,13 +83,24 @@
     }
 }
 
+/// Counts the tasks of a step's queue that may start beside those that run.
+pub(crate) fn left_of_queue(world: &World, step: &Step, terms: &StepTerms<'_>) -> u32 {
+    let Some(limit) = terms.rules.max_running_tasks else { return u32::MAX };
+    let queue = |job| world.jobs.get(job).map(|job| &job.record.policy.queue);
+    let own = queue(step.job);
+    let running = world.runs.rows.values().filter_map(|run| world.jobs.task_parts(run.task));
+    let running = running.filter(|(_, step, _)| queue(step.job) == own).count();
+    limit.saturating_sub(running as u32)
+}
+
 /// Finds a host for a task.
 fn find_host(world: &World, step: &Step, terms: &StepTerms<'_>, task: &Task, now_ms: u64) -> Option<HostKey> {
-    let choice = if terms.spec.lasting { Choice::Spread } else { Choice::Pack };
+    let packing =
+        terms.rules.packing.unwrap_or(if terms.spec.lasting { Packing::Spread } else { Packing::Pack });
     let candidates = open_hosts(world, step, terms, now_ms)
         .filter(|(key, host)| terms.fits(*key, host) > 0)
         .map(|(key, host)| candidate(world, terms, key, host, task));
-    choose_host(candidates, choice)
+    choose_host(candidates, packing)
 }
 
 /// Lists the hosts on which tasks of a step may be started now, whether or not they have room.
--- a/crates/cassiahoist_placement/src/terms.rs
+++ b/crates/cassiahoist_placement/src/terms.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_declarations::QueueRules;
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::{Step, TaskState};
 use cassiahoist_world::prelude::*;
@@ -18,16 +19,23 @@
     pub pool: &'w PoolName,
     /// What a task books.
     pub booked: Resources,
+    /// Most tasks of the step on one host: the lesser of what was submitted and what operators rule.
+    pub max_per_host: Option<u32>,
     /// Tasks of the step on each host, if that is limited.
     pub on_host: FxHashMap<HostKey, u32>,
+    /// What operators rule for the queue.
+    pub rules: QueueRules,
 }
 
 impl<'w> StepTerms<'w> {
     /// Gathers what a step needs; `pool` is that of the present configuration.
     pub fn new(world: &'w World, step: &'w Step, pool: &'w PoolName) -> Option<Self> {
         let spec = world.jobs.spec(step)?;
+        let queue = &world.jobs.get(step.job)?.record.policy.queue;
+        let rules = world.declared.in_force.queue_rules(queue, pool);
+        let max_per_host = spec.max_per_host.into_iter().chain(rules.max_tasks_per_host).min();
         let mut on_host = FxHashMap::default();
-        if spec.max_per_host.is_some() {
+        if max_per_host.is_some() {
             for task in step.tasks.iter().filter_map(|key| world.jobs.tasks.get(*key)) {
                 if let TaskState::Placed(run) = task.state
                     && let Some(run) = world.runs.rows.get(run)
@@ -36,7 +44,7 @@
                 }
             }
         }
-        Some(Self { spec, pool, booked: spec.booked(), on_host })
+        Some(Self { spec, pool, booked: spec.booked(), max_per_host, on_host, rules })
     }
 
     /// Tells whether a host could run a task of the step if it had room.
@@ -65,7 +73,7 @@
 
     /// Counts the tasks of the step that a host may still get.
     pub fn left_of_limit(&self, key: HostKey) -> u32 {
-        self.spec.max_per_host.map_or(u32::MAX, |limit| {
+        self.max_per_host.map_or(u32::MAX, |limit| {
             limit.saturating_sub(self.on_host.get(&key).copied().unwrap_or_default())
         })
     }
--- a/crates/cassiahoist_standins/src/cell.rs
+++ b/crates/cassiahoist_standins/src/cell.rs
@@ -11,6 +11,8 @@
 pub struct DaemonProcess {
     /// Where it listens for callers.
     pub callers: SocketAddr,
+    /// Where it listens for operators.
+    pub operators: SocketAddr,
     child: Child,
 }
 
@@ -78,14 +80,13 @@
     number: usize,
     platform: &Addresses,
 ) -> std::io::Result<DaemonProcess> {
-    let callers = free_address()?;
+    let (callers, operators) = (free_address()?, free_address()?);
     let settings = format!(
         "daemon: {{name: edge-{number}, failure_domain: obihiro}}\n\
-         listen: {{callers: \"{callers}\", readiness: \"{}\", peers: \"{}\", operators: \"{}\"}}\n\
+         listen: {{callers: \"{callers}\", readiness: \"{}\", peers: \"{}\", operators: \"{operators}\"}}\n\
          platform: {{store: \"{}\", advice: \"{}\"}}\n",
         free_address()?,
         free_address()?,
-        free_address()?,
         platform.store,
         platform.advice,
     );
@@ -93,5 +94,5 @@
     std::fs::write(&file, settings)?;
     let log = std::fs::File::create(folder.join(format!("edge-{number}.log")))?;
     let child = Command::new(program).arg(&file).stdout(log).stderr(Stdio::inherit()).spawn()?;
-    Ok(DaemonProcess { callers, child })
+    Ok(DaemonProcess { callers, operators, child })
 }
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -274,6 +274,8 @@
                 self.send_peer(&address, Event::Peer { from, message });
             }
             Effect::Log(note) => self.log.push((self.now_ms, daemon, note)),
+            // No operator declares anything in the simulation.
+            Effect::Declared { .. } => {}
             Effect::Exit => {
                 let restart_at_ms = self.now_ms + 500;
                 self.kill_daemon(daemon, restart_at_ms);
--- a/crates/cassiahoist_standins/tests/holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/holder.rs
@@ -1,9 +1,8 @@
 //! Systems of the holder, one finding or rule each.
 
-mod support;
-
 use std::sync::Arc;
 
+use crate::support::{FENCE, Holder, end, record, report, running, step, task_name};
 use cassiahoist_core::prelude::*;
 use cassiahoist_standins::workload::{Workload, config_json};
 use cassiahoist_world::advice::Ticket;
@@ -21,7 +20,6 @@
 use cassiahoist_world::store::{
     StoreFailure, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
 };
-use support::{FENCE, Holder, end, record, report, running, step, task_name};
 
 fn lists(running: Vec<cassiahoist_world::orders::RunningReport>) -> HostLists {
     HostLists { born_unix_ms: None, running, ended: Vec::new() }
--- /dev/null
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -0,0 +1,5 @@
+//! Single systems over a holder's tables.
+
+mod declared;
+mod holder;
+mod support;
--- a/crates/cassiahoist_traffic/src/carry_out.rs
+++ b/crates/cassiahoist_traffic/src/carry_out.rs
@@ -45,6 +45,7 @@
         let _runtime = self.runtime.enter();
         match effect {
             Effect::Answer { call, answer } => self.control.pass_answer(call, answer),
+            Effect::Declared { call, outcome } => self.control.pass_declared(call, outcome),
             Effect::Store { call, started_ms } => self.store.call(call, started_ms),
             Effect::Order { order, started_ms } => self.hosts.order(*order, started_ms),
             Effect::Advise { call, reply_to } => self.advice.call(call, reply_to),
--- a/crates/cassiahoist_traffic/src/lib.rs
+++ b/crates/cassiahoist_traffic/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod carry_out;
 pub mod clock;
 pub mod control_link;
+pub mod declarations;
 pub mod front_server;
 pub mod host_client;
 pub mod http_client;
--- a/crates/cassiahoist_traffic/src/operators.rs
+++ b/crates/cassiahoist_traffic/src/operators.rs
@@ -2,7 +2,9 @@
 
 use std::convert::Infallible;
 
+use cassiahoist_declarations::check;
 use cassiahoist_telemetry::Metrics;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request};
@@ -10,9 +12,13 @@
 use tokio::net::TcpListener;
 
 use crate::control_link::{ControlLink, View};
+use crate::declarations::{DECLARATIONS_PATH, Declared, answer};
 use crate::front_server::text_response;
 use crate::protocol::WholeResponse;
 
+/// Largest declarations that are read, in bytes; fifty exceptions with long reasons fit.
+const MAX_DECLARATIONS_BYTES: usize = 128 * 1_024;
+
 /// Pages for operators and the balancer.
 #[derive(Clone, Debug)]
 pub struct OperatorServer {
@@ -32,7 +38,7 @@
             let server = self.clone();
             let service = service_fn(move |request| {
                 let server = server.clone();
-                async move { Ok::<_, Infallible>(server.answer(&request).await) }
+                async move { Ok::<_, Infallible>(server.answer(request).await) }
             });
             let connection =
                 hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -40,13 +46,17 @@
         }
     }
 
-    async fn answer(&self, request: &Request<Incoming>) -> WholeResponse {
+    async fn answer(&self, request: Request<Incoming>) -> WholeResponse {
+        if request.method() == Method::PUT && request.uri().path() == DECLARATIONS_PATH {
+            return self.declare(request).await;
+        }
         let path = request.uri().path();
         let view = match path {
             _ if request.method() != Method::GET => return text_response(405, "text/plain", String::new()),
             "/metrics" => return text_response(200, "text/plain; version=0.0.4", self.metrics.scrape()),
             "/status" => View::Status,
             "/dump" => View::Dump,
+            DECLARATIONS_PATH => View::Declarations,
             _ if path == self.ready_path => View::Ready,
             _ => match path.strip_prefix("/explain/").and_then(|id| id.parse().ok()) {
                 Some(job) => View::Explain(job),
@@ -61,4 +71,22 @@
             None => text_response(503, "text/plain", "control does not answer\n".into()),
         }
     }
+
+    async fn declare(&self, request: Request<Incoming>) -> WholeResponse {
+        let refuse = |status: u16, reason: String| text_response(status, "text/plain", reason + "\n");
+        let Ok(body) = Limited::new(request.into_body(), MAX_DECLARATIONS_BYTES).collect().await else {
+            return refuse(413, format!("more than {MAX_DECLARATIONS_BYTES} bytes, or the body broke off"));
+        };
+        let declared: Declared = match serde_json::from_slice(&body.to_bytes()) {
+            Ok(declared) => declared,
+            Err(error) => return refuse(400, error.to_string()),
+        };
+        if let Err(error) = check(&declared.declarations) {
+            return refuse(400, error.to_string());
+        }
+        let outcome = self.control.declare(declared.revision, declared.declarations).await;
+        let (status, text) = answer(outcome);
+        let kind = if status == 200 { "application/json" } else { "text/plain" };
+        text_response(status, kind, text)
+    }
 }
--- a/crates/cassiahoist_wire/src/keys.rs
+++ b/crates/cassiahoist_wire/src/keys.rs
@@ -6,6 +6,9 @@
 /// Prefix of claims and members.
 const CELL: &str = "hoist/cell/";
 
+/// Key of what operators declared; it stands with the cell, which every daemon follows.
+const DECLARED: &str = "hoist/cell/declared";
+
 /// Prefix of accepted jobs and cancellations.
 const JOBS: &str = "hoist/jobs/";
 
@@ -18,6 +21,7 @@
     Some(match key {
         StoreKey::Claim(slice) => format!("{CELL}claim/{}", slice.0),
         StoreKey::Term(slice) => format!("{CELL}term/{}", slice.0),
+        StoreKey::Declared => DECLARED.into(),
         StoreKey::Member(member) => format!("{CELL}member/{member}"),
         StoreKey::HostRoster(slice) => format!("hoist/hosts/{}", slice.0),
         StoreKey::Job(job) => format!("{JOBS}job/{job}"),
@@ -30,6 +34,9 @@
 /// Reads the text of a key of the daemons' own; nothing if it is none.
 #[must_use]
 pub fn read_key(text: &str) -> Option<StoreKey> {
+    if text == DECLARED {
+        return Some(StoreKey::Declared);
+    }
     let slice = |text: &str| text.parse().ok().map(SliceId);
     if let Some(rest) = text.strip_prefix(CELL) {
         return match rest.split_once('/')? {
--- a/crates/cassiahoist_world/src/effect.rs
+++ b/crates/cassiahoist_world/src/effect.rs
@@ -5,6 +5,7 @@
 use cassiahoist_core::prelude::*;
 
 use crate::advice::AdviceCall;
+use crate::declared::{DeclareNumber, DeclareOutcome};
 use crate::front::{CallNumber, FrontAnswer};
 use crate::orders::HostOrder;
 use crate::peer::PeerMessage;
@@ -74,6 +75,13 @@
     },
     /// Writes a log event.
     Log(LogNote),
+    /// Tells an operator what became of its declarations.
+    Declared {
+        /// Number of the call.
+        call: DeclareNumber,
+        /// What became of it.
+        outcome: DeclareOutcome,
+    },
     /// Ends the process.
     Exit,
 }
--- a/crates/cassiahoist_world/src/event.rs
+++ b/crates/cassiahoist_world/src/event.rs
@@ -1,6 +1,7 @@
 //! Messages to the control thread.
 
 use crate::advice::AdviceAnswer;
+use crate::declared::DeclareCall;
 use crate::front::{CallNumber, FrontCall};
 use crate::orders::OrderAnswered;
 use crate::peer::{PeerMessage, Sender};
@@ -26,6 +27,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// An operator wants declarations in force.
+    Declare(DeclareCall),
     /// The process is asked to stop.
     Stop,
 }
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_declarations::HostRules;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::SlotMap;
 
@@ -115,6 +116,8 @@
     pub filler_percent: u8,
     /// When the pace of fillers was last changed, in monotonic milliseconds.
     pub paced_ms: u64,
+    /// What operators rule for it.
+    pub rules: HostRules,
 }
 
 impl Host {
@@ -142,6 +145,7 @@
             standing: Standing::default(),
             filler_percent: 100,
             paced_ms: 0,
+            rules: HostRules::default(),
         }
     }
 
@@ -159,13 +163,14 @@
     /// Gives what is left for new runs.
     #[must_use]
     pub fn room(&self) -> Resources {
-        self.report.capacity.minus(&self.booked).minus(&self.orphans.taken)
+        self.report.capacity.percent(self.rules.room_percent).minus(&self.booked).minus(&self.orphans.taken)
     }
 
     /// Tells whether new runs may be started on it.
     #[must_use]
     pub fn takes_work(&self, now_ms: u64) -> bool {
         self.adoption == Adoption::Adopted
+            && !self.rules.cordoned
             && self.leaving_since_ms.is_none()
             && self.missing_since_ms.is_none()
             && self.silent_since_ms.is_none()
@@ -199,6 +204,8 @@
     rows: SlotMap<HostKey, Host>,
     by_name: FxHashMap<HostName, HostKey>,
     largest: FxHashMap<PoolName, Resources>,
+    /// Rows whose rules are to be looked up.
+    pub unruled: Vec<HostKey>,
 }
 
 impl HostTable {
@@ -207,6 +214,7 @@
         self.note_capacity(&host.report);
         let name = host.report.name.clone();
         let key = self.rows.insert(host);
+        self.unruled.push(key);
         self.by_name.insert(name, key);
         key
     }
@@ -214,6 +222,7 @@
     /// Takes over what a host says of itself.
     pub fn set_report(&mut self, key: HostKey, report: HostReport) {
         self.note_capacity(&report);
+        self.unruled.push(key);
         if let Some(host) = self.rows.get_mut(key) {
             host.report = report;
         }
@@ -244,6 +253,7 @@
         self.rows.clear();
         self.by_name.clear();
         self.largest.clear();
+        self.unruled.clear();
     }
 
     /// Finds a host by name.
--- a/crates/cassiahoist_world/src/inbox.rs
+++ b/crates/cassiahoist_world/src/inbox.rs
@@ -1,6 +1,7 @@
 //! Messages that came since the last tick, by the system that reads them.
 
 use crate::advice::AdviceAnswer;
+use crate::declared::DeclareCall;
 use crate::event::Event;
 use crate::front::{CallNumber, FrontCall};
 use crate::orders::OrderAnswered;
@@ -33,6 +34,10 @@
     pub advice: Vec<AdviceAnswer>,
     /// Messages of peers.
     pub peers: Vec<(Sender, PeerMessage)>,
+    /// Calls of operators to put declarations in force.
+    pub declares: Vec<DeclareCall>,
+    /// Items of the cell that hold declarations; none if they were removed.
+    pub declared: Vec<Option<StoreItem>>,
     /// Whether a stop was asked for.
     pub stop: bool,
 }
@@ -49,6 +54,7 @@
                 self.advice.push(answer);
             }
             Event::Peer { from, message } => self.peers.push((from, message)),
+            Event::Declare(call) => self.declares.push(call),
             Event::Stop => self.stop = true,
         }
     }
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod commits;
 pub mod config;
 pub mod counters;
+pub mod declared;
 pub mod effect;
 pub mod event;
 pub mod front;
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_declarations::Declarations;
 use serde::{Deserialize, Serialize};
 
 use crate::config::ConfigRecord;
@@ -39,6 +40,8 @@
     Term(SliceId),
     /// Hosts that may run work of a slice.
     HostRoster(SliceId),
+    /// What operators declared.
+    Declared,
     /// A live daemon.
     Member(MemberName),
     /// An accepted job.
@@ -66,6 +69,8 @@
     HostRoster(HostRoster),
     /// Of [`StoreKey::Member`].
     Member(MemberRecord),
+    /// Of [`StoreKey::Declared`].
+    Declared(Arc<Declarations>),
     /// Of [`StoreKey::Job`].
     Job(Arc<JobRecord>),
     /// Of [`StoreKey::Cancel`].
@@ -233,6 +238,8 @@
     Cancel(u64),
     /// Records progress; the number counts commits.
     Progress(u64),
+    /// Stores declarations for the operator who waits under this call number.
+    Declare(u64),
     /// Removes old records.
     Retire,
 }
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -4,6 +4,7 @@
 use crate::commits::CommitTable;
 use crate::config::ConfigTable;
 use crate::counters::Counters;
+use crate::declared::DeclaredTable;
 use crate::effect::{Effect, LogNote};
 use crate::front::{CallNumber, FrontAnswer, FrontTable, Origin};
 use crate::holding::Holding;
@@ -32,6 +33,8 @@
     pub holding: Holding,
     /// The configuration in force.
     pub config: ConfigTable,
+    /// What operators declared.
+    pub declared: DeclaredTable,
     /// Backend servers.
     pub hosts: HostTable,
     /// Jobs, steps and tasks; filled at the holder only.
@@ -66,6 +69,7 @@
             members: MemberTable::default(),
             holding: Holding::default(),
             config: ConfigTable::default(),
+            declared: DeclaredTable::default(),
             hosts: HostTable::default(),
             jobs: JobTable::default(),
             runs: RunTable::default(),
--- a/tests/programs.rs
+++ b/tests/programs.rs
@@ -1,6 +1,11 @@
 //! The two programs from their command lines.
 
+use std::path::Path;
 use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use cassiahoist_standins::cell::start_daemon;
+use cassiahoist_standins::server::SharedPlatform;
 
 fn run(program: &str, arguments: &[&str]) -> Output {
     Command::new(program).args(arguments).output().unwrap()
@@ -39,3 +44,55 @@
     let help = run(tool, &["explain", "--help"]);
     assert!(String::from_utf8_lossy(&help.stdout).contains("Example: hoistctl explain"));
 }
+
+const FLEET: &str = "defaults: {packing: spread}\n\
+    exceptions:\n\
+    - {select: {host: i-0001}, set: {cordoned: true}, reason: Its fan is replaced on Friday.}\n";
+
+#[test]
+fn the_operators_tool_checks_declarations() {
+    let tool = env!("CARGO_BIN_EXE_hoistctl");
+    let good = settings_file("fleet", FLEET);
+    let output = run(tool, &["declarations", "check", &good]);
+    assert!(output.status.success());
+    assert_eq!(String::from_utf8_lossy(&output.stdout), "good: 1 defaults, 1 exceptions\n");
+    let bad = settings_file("fleet-bad", &FLEET.replace("Its fan is replaced on Friday.", "fan"));
+    let output = run(tool, &["declarations", "check", &bad]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("exceptions[0].reason"));
+}
+
+/// Runs the tool until it exits with a code, for some seconds.
+fn run_until(tool: &str, arguments: &[&str], code: i32) -> Output {
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        let output = run(tool, arguments);
+        if output.status.code() == Some(code) || Instant::now() > until {
+            return output;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn declarations_applied_at_one_daemon_come_in_force_at_another() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let (_platform, addresses) = runtime.block_on(SharedPlatform::start(2)).unwrap();
+    let folder = std::env::temp_dir().join(format!("cassiahoist-declarations-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_cassiahoist"));
+    let daemons: Vec<_> =
+        (0..2).map(|number| start_daemon(program, &folder, number, &addresses).unwrap()).collect();
+    let at: Vec<String> = daemons.iter().map(|daemon| daemon.operators.to_string()).collect();
+    let tool = env!("CARGO_BIN_EXE_hoistctl");
+    let file = settings_file("fleet-applied", FLEET);
+
+    let output = run_until(tool, &["declarations", "diff", &at[0], &file], 3);
+    let changes =
+        "~ default packing: unset -> spread\n+ host i-0001: cordoned=true (Its fan is replaced on Friday.)\n";
+    assert_eq!(String::from_utf8_lossy(&output.stdout), changes);
+    let output = run_until(tool, &["declarations", "apply", &at[0], &file], 0);
+    assert!(String::from_utf8_lossy(&output.stdout).contains("stored: {\"revision\":"), "{output:?}");
+    let output = run_until(tool, &["declarations", "diff", &at[1], &file], 0);
+    assert_eq!(String::from_utf8_lossy(&output.stdout), "no difference\n");
+}
