Engage hosts by need, so that the holder's cost follows the work

It polled every host at a takeover, wrote each into the roster and went over all rows each tick, though the work needed a few dozen. A host that goes without ever having had an order is forgotten at once.

--- a/crates/cassiahoist_hosts/src/entries.rs
+++ b/crates/cassiahoist_hosts/src/entries.rs
@@ -33,10 +33,10 @@
         }
         read_entry(world, item, now_ms);
     }
-    for (_, host) in world.hosts.iter_mut() {
-        if !listed.contains(&host.report.name) {
-            host.missing_since_ms.get_or_insert(now_ms);
-        }
+    let missing = world.hosts.iter().filter(|(_, host)| !listed.contains(&host.report.name));
+    let missing: Vec<HostKey> = missing.map(|(key, _)| key).collect();
+    for key in missing {
+        note_missing(world, key, now_ms);
     }
     world.holding.loading.hosts = true;
 }
@@ -44,8 +44,16 @@
 fn read_removal(world: &mut World, key: &StoreKey, now_ms: u64) {
     if let StoreKey::Host(name) = key
         && let Some(key) = world.hosts.find(name)
-        && let Some(host) = world.hosts.get_mut(key)
     {
+        note_missing(world, key, now_ms);
+    }
+}
+
+/// The entry of a host is gone; of one that never got an order nothing else is known.
+fn note_missing(world: &mut World, key: HostKey, now_ms: u64) {
+    if !world.hosts.is_engaged(key) {
+        world.hosts.remove(key);
+    } else if let Some(host) = world.hosts.get_mut(key) {
         host.missing_since_ms.get_or_insert(now_ms);
     }
 }
--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -20,7 +20,7 @@
     if !world.holding.is_holding() || world.commits.roster_in_flight {
         return;
     }
-    let missing = world.hosts.iter().any(|(_, host)| !host.in_roster && host.takes_work(now_ms));
+    let missing = world.hosts.iter_engaged().any(|(_, host)| !host.in_roster && host.takes_work(now_ms));
     if !missing && !world.commits.roster_stale {
         return;
     }
@@ -30,7 +30,7 @@
     world.commits.roster_stale = false;
     let hosts = world
         .hosts
-        .iter()
+        .iter_engaged()
         .filter(|(_, host)| host.in_roster || host.takes_work(now_ms))
         .map(|(_, host)| RosterHost {
             name: host.report.name.clone(),
@@ -43,7 +43,7 @@
         .with_expect(StoreKey::Claim(SLICE), fence.0)
         .with_expect(StoreKey::HostRoster(SLICE), world.commits.roster_revision)
         .with_put(StoreKey::HostRoster(SLICE), StoreValue::HostRoster(HostRoster { hosts }));
-    let takes_work = world.hosts.iter().filter(|(_, host)| host.takes_work(now_ms));
+    let takes_work = world.hosts.iter_engaged().filter(|(_, host)| host.takes_work(now_ms));
     world.commits.roster_sent = takes_work.map(|(key, host)| (key, host.report.born_unix_ms)).collect();
     world.call_store(StorePurpose::RecordRoster, StoreOp::Commit(transaction), now_ms, PATIENCE_MS);
 }
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -91,6 +91,9 @@
     let lease_end_ms = now_ms + longest_lease_ms(world.local.bounds.run_lease_ms);
     for booked in &roster.hosts {
         let listed = world.hosts.find(&booked.name);
+        if let Some(key) = listed {
+            world.hosts.engage(key);
+        }
         match listed.and_then(|key| world.hosts.get_mut(key)) {
             Some(host) if host.report.born_unix_ms == booked.born_unix_ms => {
                 host.in_roster = true;
@@ -103,7 +106,8 @@
                 host.missing_since_ms = Some(now_ms);
                 host.in_roster = true;
                 host.lease_end_ms = lease_end_ms;
-                world.hosts.insert(host);
+                let key = world.hosts.insert(host);
+                world.hosts.engage(key);
             }
         }
     }
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -197,7 +197,7 @@
         queue.and_then(|queue| world.advice.good_share.get(queue)).copied().unwrap_or(FIRST_GOOD_SHARE);
     let mut wanted = step.pending.len() as f64 * ROOM_FACTOR;
     let mut named = Vec::new();
-    for (key, host) in world.hosts.iter() {
+    for (key, host) in world.hosts.iter_engaged() {
         let open = host.in_roster && host.takes_work(now_ms) && terms.suits(host);
         if !open || step.advice.bad.contains(&key) {
             continue;
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -111,7 +111,7 @@
     now_ms: u64,
 ) -> impl Iterator<Item = (HostKey, &'w Host)> {
     let advised = world.jobs.get(step.job).is_some_and(|job| job.record.policy.advice.is_some());
-    world.hosts.iter().filter(move |(key, host)| {
+    world.hosts.iter_engaged().filter(move |(key, host)| {
         host.in_roster
             && host.takes_work(now_ms)
             && terms.suits(host)
--- a/crates/cassiahoist_runs/src/lapse.rs
+++ b/crates/cassiahoist_runs/src/lapse.rs
@@ -19,7 +19,7 @@
     if !world.holding.is_holding() {
         return;
     }
-    for key in world.hosts.keys() {
+    for key in world.hosts.engaged_keys() {
         let Some(host) = world.hosts.get(key) else { continue };
         if let Some(silent_ms) = host.silent_since_ms {
             let over = now_ms >= host.lease_end_ms;
@@ -131,5 +131,5 @@
 pub fn inherited_may_start(world: &World, now_ms: u64) -> bool {
     let Some(since_ms) = world.holding.since_ms() else { return false };
     now_ms >= since_ms + longest_lease_ms(world.local.bounds.run_lease_ms)
-        || world.hosts.iter().all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
+        || world.hosts.iter_engaged().all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
 }
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -66,7 +66,7 @@
     let lease_ms = world.local.bounds.run_lease_ms;
     let careful = world.runs.unanswered_ms.is_some_and(|at_ms| now_ms < at_ms + CAREFUL_MS);
     let wait_ms = if careful { CAREFUL_WAIT_MS } else { WAIT_MS };
-    for key in world.hosts.keys() {
+    for key in world.hosts.engaged_keys() {
         let Some(host) = world.hosts.get_mut(key) else { continue };
         let wait_ms = match decide_poll(host, wait_ms, now_ms) {
             PollStep::Leave => continue,
--- a/crates/cassiahoist_standins/tests/systems/declared.rs
+++ b/crates/cassiahoist_standins/tests/systems/declared.rs
@@ -9,25 +9,20 @@
 use cassiahoist_world::effect::Effect;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::store::{
-    KeySpace, StoreAnswered, StoreChange, StoreFailure, StoreItem, StoreKey, StoreOp, StorePurpose,
-    StoreReply, StoreValue,
+    KeySpace, StoreChange, StoreFailure, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
 };
 
 fn declared(text: &str) -> Arc<Declarations> {
     Arc::new(parse_files(&[("fleet.yaml", text)]).unwrap())
 }
 
-/// Lets the watch of the cell bring a change.
-fn watch(holder: &mut Holder, change: StoreChange, revision: u64) {
-    let outcome = Ok(StoreReply::Changes { changes: vec![change], revision });
-    let purpose = StorePurpose::Follow(KeySpace::Cell);
-    let started_ms = holder.now_ms;
-    holder.hear(Event::Store(Box::new(StoreAnswered { purpose, started_ms, outcome })));
-}
-
 fn put_in_force(holder: &mut Holder, text: &str, revision: u64) {
     let value = StoreValue::Declared(declared(text));
-    watch(holder, StoreChange::Written(StoreItem { key: StoreKey::Declared, value, revision }), revision);
+    holder.watch(
+        KeySpace::Cell,
+        vec![StoreChange::Written(StoreItem { key: StoreKey::Declared, value, revision })],
+        revision,
+    );
 }
 
 fn exception(select: &str, set: &str) -> String {
@@ -80,7 +75,7 @@
     holder.tick(10);
     assert!(holder.starts().iter().all(|(host, ..)| host == "i-0"));
     assert_eq!(holder.starts().len(), 8);
-    watch(&mut holder, StoreChange::Removed { key: StoreKey::Declared, revision: 71 }, 71);
+    holder.watch(KeySpace::Cell, vec![StoreChange::Removed { key: StoreKey::Declared, revision: 71 }], 71);
     holder.tick(300);
     assert_eq!(holder.starts().iter().filter(|(host, ..)| host == "i-1").count(), 2);
 }
@@ -98,7 +93,11 @@
     put_in_force(&mut holder, "defaults: {room_percent: 50}", 70);
     put_in_force(&mut holder, "defaults: {room_percent: 25}", 69);
     let value = StoreValue::Unreadable { reason: "bytes".into() };
-    watch(&mut holder, StoreChange::Written(StoreItem { key: StoreKey::Declared, value, revision: 71 }), 71);
+    holder.watch(
+        KeySpace::Cell,
+        vec![StoreChange::Written(StoreItem { key: StoreKey::Declared, value, revision: 71 })],
+        71,
+    );
     let logged = holder
         .effects
         .iter()
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -18,7 +18,10 @@
 };
 use cassiahoist_world::record::{ClaimRecord, JobRecord};
 use cassiahoist_world::spec::{JobSpec, StepSpec};
-use cassiahoist_world::store::{StoreAnswered, StoreCall, StoreFailure, StoreOp, StoreReply};
+use cassiahoist_world::store::{
+    KeySpace, StoreAnswered, StoreCall, StoreChange, StoreFailure, StoreItem, StoreKey, StoreOp,
+    StorePurpose, StoreReply, StoreValue,
+};
 
 /// Fencing token of the holder under test.
 pub const FENCE: Fence = Fence(50);
@@ -88,7 +91,8 @@
             host.adoption = Adoption::Adopted;
             host.in_roster = true;
             host.clock_known = true;
-            world.hosts.insert(host);
+            let key = world.hosts.insert(host);
+            world.hosts.engage(key);
         }
         Self { app, now_ms: 1_000, effects: Vec::new() }
     }
@@ -177,6 +181,13 @@
         self.answer(order, OrderOutcome::Done { lists: Some(lists) }, clock_ms)
     }
 
+    /// Lets the watch of a range bring changes.
+    pub fn watch(&mut self, space: KeySpace, changes: Vec<StoreChange>, revision: u64) -> &[Effect] {
+        let outcome = Ok(StoreReply::Changes { changes, revision });
+        let (purpose, started_ms) = (StorePurpose::Follow(space), self.now_ms);
+        self.hear(Event::Store(Box::new(StoreAnswered { purpose, started_ms, outcome })))
+    }
+
     /// Answers a call to the store.
     pub fn answer_store(&mut self, call: StoreCall, outcome: Result<StoreReply, StoreFailure>) -> &[Effect] {
         let started_ms = self.now_ms;
@@ -225,3 +236,9 @@
 pub fn task_name(job: u64, step: u16, index: u32) -> String {
     format!("{}.0.{step}.{index}", JobId(job))
 }
+
+/// The entry that a host writes of itself.
+pub fn entry(report: HostReport) -> StoreChange {
+    let key = StoreKey::Host(report.name.clone());
+    StoreChange::Written(StoreItem { key, value: StoreValue::Host(Box::new(report)), revision: 70 })
+}
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -1,5 +1,6 @@
 //! Backend servers that run tasks.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
@@ -206,6 +207,10 @@
     largest: FxHashMap<PoolName, Resources>,
     /// Rows whose rules are to be looked up.
     pub unruled: Vec<HostKey>,
+    /// Hosts that the holder polls and may give work to, in order of their rows.
+    engaged: BTreeSet<HostKey>,
+    /// When hosts are engaged next, in monotonic milliseconds.
+    pub engage_next_ms: u64,
 }
 
 impl HostTable {
@@ -242,6 +247,7 @@
     /// Removes a host.
     pub fn remove(&mut self, key: HostKey) -> Option<Host> {
         let host = self.rows.remove(key)?;
+        self.engaged.remove(&key);
         if self.by_name.get(&host.report.name) == Some(&key) {
             self.by_name.remove(&host.report.name);
         }
@@ -254,6 +260,7 @@
         self.by_name.clear();
         self.largest.clear();
         self.unruled.clear();
+        self.engaged.clear();
     }
 
     /// Finds a host by name.
@@ -283,6 +290,36 @@
         self.rows.iter_mut()
     }
 
+    /// Lets the holder poll a host and give it work.
+    pub fn engage(&mut self, key: HostKey) {
+        if self.rows.contains_key(key) {
+            self.engaged.insert(key);
+        }
+    }
+
+    /// Tells whether the holder deals with a host.
+    #[must_use]
+    pub fn is_engaged(&self, key: HostKey) -> bool {
+        self.engaged.contains(&key)
+    }
+
+    /// Tells whether the holder deals with every host.
+    #[must_use]
+    pub fn all_engaged(&self) -> bool {
+        self.engaged.len() == self.rows.len()
+    }
+
+    /// Goes through the hosts that the holder deals with.
+    pub fn iter_engaged(&self) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.engaged.iter().filter_map(|key| Some((*key, self.rows.get(*key)?)))
+    }
+
+    /// Lists the keys of the hosts that the holder deals with.
+    #[must_use]
+    pub fn engaged_keys(&self) -> Vec<HostKey> {
+        self.engaged.iter().copied().collect()
+    }
+
     /// Lists the keys of all hosts.
     #[must_use]
     pub fn keys(&self) -> Vec<HostKey> {
