Keep starts that a new life may have confirmed

Change: a run belongs to the known life of its host once a poll has listed it. When a new life shows, listed runs are over; others stay until the next poll lists them or does not. Conclusion: a run of a host that was reborn right after its start waits for one poll more.

--- a/crates/cassiahoist_runs/src/adopt.rs
+++ b/crates/cassiahoist_runs/src/adopt.rs
@@ -23,6 +23,7 @@
     }
     let key = book_run(world, task, host, running.number, RunState::Running, now_ms)?;
     if let Some(run) = world.runs.rows.get_mut(key) {
+        run.listed = true;
         run.percent = running.percent;
     }
     if let Some(task) = world.jobs.tasks.get_mut(task)
--- a/crates/cassiahoist_runs/src/lapse.rs
+++ b/crates/cassiahoist_runs/src/lapse.rs
@@ -7,7 +7,7 @@
 use cassiahoist_world::hosts::{Adoption, HostKey, Orphans, Poll};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::runs::{RunKey, RunState};
+use cassiahoist_world::runs::RunKey;
 
 use crate::outcome::end_run;
 
@@ -82,7 +82,7 @@
 
 /// Takes note that a host has begun a new life: what it ran before is over, and it knows nothing.
 ///
-/// Runs whose start is on its way stay, since the new life may have begun them.
+/// Runs that no poll has listed stay until one does or does not, since the new life may have begun them.
 pub fn begin_host_life(world: &mut World, key: HostKey, cause: &str, now_ms: u64) {
     let Some(host) = world.hosts.get_mut(key) else { return };
     host.in_roster = false;
@@ -92,13 +92,7 @@
     host.clock_known = false;
     host.orphans = Orphans::default();
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
-    let over = |run: &&RunKey| {
-        world
-            .runs
-            .rows
-            .get(**run)
-            .is_some_and(|run| !matches!(run.state, RunState::Starting | RunState::Unsettled))
-    };
+    let over = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed);
     let runs: Vec<RunKey> = host.runs.iter().filter(over).copied().collect();
     let note = LogNote::new(EventId::HostGone).with("host", &host.report.name).with("runs", runs.len());
     world.log(note.with("cause", cause));
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -28,6 +28,7 @@
         stop: None,
         ordered_ms: now_ms,
         confirmed_ms: now_ms,
+        listed: false,
         order_in_flight: false,
         order_next_ms: now_ms,
         percent: 0,
--- a/crates/cassiahoist_runs/src/reports.rs
+++ b/crates/cassiahoist_runs/src/reports.rs
@@ -127,6 +127,7 @@
         run.state = RunState::Running;
         run.confirmed_ms = now_ms;
     }
+    run.listed = true;
     if run.percent != running.percent {
         run.percent = running.percent;
         run.progressed_ms = now_ms;
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -56,6 +56,8 @@
     pub ordered_ms: u64,
     /// When the host confirmed it, in monotonic milliseconds.
     pub confirmed_ms: u64,
+    /// Whether a poll has listed it, so that it belongs to the life of its host that is known.
+    pub listed: bool,
     /// Whether an order about it is under way.
     pub order_in_flight: bool,
     /// When to repeat the order, in monotonic milliseconds.
