Shorten the lease to 1.5 s

Cause: after the loss of a holder nothing started for 2.0 s, the lease's length; the target is 1.5 s. Change: the lease lasts 1.5 s; the holder renews it every 400 ms and right after a claim, a renewal is given the store's usual patience, and a failed one is repeated 100 ms later. Ruled out: replacing the claim of a live holder on evidence of peers, which a cut between daemons would give as well. Conclusion: kept; the time is the lease's length, and a shorter one would not bear a slow store.";

--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -103,6 +103,8 @@
                 term: world.holding.term + 1,
             };
             world.holding.claim = Some((claim, revision));
+            // What is left of the lease may be little.
+            world.store.lease_next_ms = now_ms;
             world.holding.handle(HoldingEvent::ClaimWon { fence, at_ms: now_ms });
             begin_adoption(world, now_ms);
         }
--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -7,19 +7,16 @@
 use crate::step_down::{Cause, step_down};
 
 /// How long the lease lasts without renewal, in milliseconds; bounds the time to notice a dead holder.
-const LEASE_TTL_MS: u64 = 2_000;
+const LEASE_TTL_MS: u64 = 1_500;
 
-/// Pause between renewals at the holder, in milliseconds; three may fail before the lease ends.
-const HOLDER_KEEP_INTERVAL_MS: u64 = 500;
+/// Pause between renewals at the holder, in milliseconds; two may fail before the lease ends.
+const HOLDER_KEEP_INTERVAL_MS: u64 = 400;
 
 /// Pause between renewals at other daemons, in milliseconds; one may fail, and a lapse costs them only their entry.
 const KEEP_INTERVAL_MS: u64 = 800;
 
 /// Pause after a failed call, in milliseconds.
-const RETRY_MS: u64 = 250;
-
-/// How long a call may take, in milliseconds.
-const PATIENCE_MS: u64 = 800;
+const RETRY_MS: u64 = 100;
 
 /// Takes in answers about the lease.
 pub fn read_lease_answers(world: &mut World, now_ms: u64) {
@@ -72,5 +69,6 @@
         }
     };
     world.store.lease_in_flight = true;
-    world.call_store(purpose, op, now_ms, PATIENCE_MS);
+    let patience_ms = world.store.patience_ms();
+    world.call_store(purpose, op, now_ms, patience_ms);
 }
