Limit connections to a host

The holder opened a connection for every start at the same time and kept 32; those of daemons that had lost power still counted at the host. Change: at most 16 connections to a host at a time; later orders wait for one and count as not sent if none comes free. Tests: two over loopback.

--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -193,3 +193,12 @@
         assert!(found.is_empty(), "seed {seed}: {}", found[0]);
     }
 }
+
+#[test]
+fn daemons_that_start_while_the_store_is_slow_hold_the_slice() {
+    let slow = StoreMood { slow_ms: 420, ..StoreMood::default() };
+    let faults = vec![(7_000, store(slow)), (7_100, Fault::KillAll(500)), (14_000, WELL)];
+    let mut sim = Sim::new(28, Plan { faults, ..Plan::default() });
+    sim.play_until(12_000);
+    assert!(sim.holder().is_some());
+}
--- a/crates/cassiahoist_traffic/src/host_client.rs
+++ b/crates/cassiahoist_traffic/src/host_client.rs
@@ -10,6 +10,10 @@
 use crate::http_client::{Exchange, HttpClient};
 use crate::protocol::{HostProtocol, HostReply};
 
+/// Connections to one host. Hosts take 64 from all daemons together, and those of daemons that lost power count until
+/// the host notices, so that several holders in a row have to share them.
+const MAX_CONNECTIONS: usize = 16;
+
 /// Carries orders to hosts and tells control what came of them.
 #[derive(Clone, Debug)]
 pub struct HostClient<P> {
@@ -23,7 +27,7 @@
     /// Creates a client.
     #[must_use]
     pub fn new(protocol: P, clock: MonotonicClock, control: ControlLink) -> Self {
-        Self { protocol, http: HttpClient::new(), clock, control }
+        Self { protocol, http: HttpClient::new().with_max_connections(MAX_CONNECTIONS), clock, control }
     }
 
     /// Begins to carry an order; its outcome goes to control.
--- /dev/null
+++ b/crates/cassiahoist_traffic/tests/http_client.rs
@@ -0,0 +1,70 @@
+//! The client's connections over loopback.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use cassiahoist_traffic::front_server::text_response;
+use cassiahoist_traffic::http_client::{Exchange, HttpClient};
+use cassiahoist_traffic::protocol::WholeRequest;
+use hyper::Request;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Time that the server takes for each request.
+const WORK: Duration = Duration::from_millis(20);
+
+/// Serves requests slowly; counts connections that were opened.
+async fn serve(listener: TcpListener, opened: Arc<AtomicUsize>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        opened.fetch_add(1, Ordering::Relaxed);
+        let service = service_fn(|_request| async {
+            tokio::time::sleep(WORK).await;
+            Ok::<_, Infallible>(text_response(200, "text/plain", String::new()))
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        drop(tokio::spawn(connection));
+    }
+}
+
+fn request() -> WholeRequest {
+    Request::builder().uri("/").header("host", "host").body(http_body_util::Full::default()).unwrap()
+}
+
+#[tokio::test]
+async fn no_more_connections_than_allowed_are_opened_to_one_address() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let opened = Arc::new(AtomicUsize::new(0));
+    drop(tokio::spawn(serve(listener, Arc::clone(&opened))));
+    let client = HttpClient::new().with_max_connections(3);
+    let exchanges: Vec<_> = (0..12)
+        .map(|_| {
+            let (client, address) = (client.clone(), address.clone());
+            tokio::spawn(async move { client.exchange(&address, request(), Duration::from_secs(10)).await })
+        })
+        .collect();
+    for exchange in exchanges {
+        assert!(matches!(exchange.await.unwrap(), Exchange::Answered(_)));
+    }
+    assert_eq!(opened.load(Ordering::Relaxed), 3);
+}
+
+#[tokio::test]
+async fn a_request_that_got_no_connection_in_time_was_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(tokio::spawn(serve(listener, Arc::default())));
+    let client = HttpClient::new().with_max_connections(1);
+    let (first_client, first_address) = (client.clone(), address.clone());
+    let first = tokio::spawn(async move {
+        first_client.exchange(&first_address, request(), Duration::from_secs(10)).await
+    });
+    tokio::time::sleep(WORK / 4).await;
+    let second = client.exchange(&address, request(), WORK / 10).await;
+    assert!(matches!(second, Exchange::NotSent));
+    assert!(matches!(first.await.unwrap(), Exchange::Answered(_)));
+}
