Shorten the leases of runs to 3.2 s

Ruled out: a refused connection as proof that a host's process is gone, since a host over its cap of connections refuses as well. Change: leases of runs last 3.2 s. The simulation takes the daemon's own constant.

--- a/crates/cassiahoist_daemon/src/app.rs
+++ b/crates/cassiahoist_daemon/src/app.rs
@@ -11,9 +11,9 @@
 use cassiahoist_world::app::App;
 use cassiahoist_world::local::{Local, StopState};
 
-/// Longest lease of runs that daemons ask for, in milliseconds: it outlasts a change of holder, and a task on a host
-/// that went dark waits no longer than this.
-const RUN_LEASE_LIMIT_MS: u64 = 4_500;
+/// Longest lease of runs that daemons ask for, in milliseconds: what is left of it after a poll outlasts a change of
+/// holder, and a task on a host that went dark waits no longer than this.
+pub const RUN_LEASE_LIMIT_MS: u64 = 3_200;
 
 /// Builds a daemon's application.
 #[must_use]
--- a/crates/cassiahoist_daemon/src/lib.rs
+++ b/crates/cassiahoist_daemon/src/lib.rs
@@ -12,5 +12,5 @@
 mod signals;
 mod views;
 
-pub use app::{build_app, local};
+pub use app::{RUN_LEASE_LIMIT_MS, build_app, local};
 pub use process::run;
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_daemon::build_app;
+use cassiahoist_daemon::{RUN_LEASE_LIMIT_MS, build_app};
 use cassiahoist_world::app::App;
 use cassiahoist_world::effect::{Effect, LogNote};
 use cassiahoist_world::event::Event;
@@ -215,7 +215,7 @@
             incarnation: Incarnation { member: daemon.name.clone(), number: life },
             domain,
             peer_address: peer_address(number),
-            bounds: Bounds { run_lease_ms: RUN_LEASE_MS, ..Bounds::default() },
+            bounds: Bounds { run_lease_ms: RUN_LEASE_LIMIT_MS, ..Bounds::default() },
             stop: StopState::Running,
             unix_ms: life,
         }));
@@ -336,9 +336,6 @@
     format!("10.1.0.{daemon}:7720")
 }
 
-/// Lease of runs that the simulated daemons ask for, in milliseconds.
-const RUN_LEASE_MS: u64 = 4_500;
-
 fn new_daemon(number: usize) -> Option<Daemon> {
     Some(Daemon {
         app: None,
