Share one row store with an index between the tables

Cause: the tables of jobs and of hosts each kept rows, an index by identity and the same insert, find and remove. Change: Rows holds both; a row names its identity by an associated type. Tables give views of their rows and keep changes to themselves.

--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -112,7 +112,7 @@
 
 /// Tells why a job waits or how it ended, as far as this daemon knows.
 fn explain(world: &World, id: JobId) -> Value {
-    let Some(job) = world.jobs.find(id).and_then(|key| world.jobs.get(key)) else {
+    let Some(job) = world.jobs.find(&id).and_then(|key| world.jobs.get(key)) else {
         let holder = world.holding.claim.as_ref().map(|(claim, _)| claim.peer_address.clone());
         return json!({ "job": id, "known": false, "holder": holder });
     };
--- a/crates/cassiahoist_jobs/src/ask.rs
+++ b/crates/cassiahoist_jobs/src/ask.rs
@@ -48,7 +48,7 @@
 
 /// Tells how a job stands as callers may see it: a final state shows once it is recorded.
 fn shown_state(world: &World, job: JobId) -> Option<JobState> {
-    let job = world.jobs.get(world.jobs.find(job)?)?;
+    let job = world.jobs.get(world.jobs.find(&job)?)?;
     Some(match job.state {
         JobState::Completed | JobState::Failed if job.recorded_state != job.state => JobState::Running,
         state => state,
--- a/crates/cassiahoist_jobs/src/cancel.rs
+++ b/crates/cassiahoist_jobs/src/cancel.rs
@@ -17,7 +17,7 @@
 
 /// Begins to cancel a job.
 pub(crate) fn cancel_job(world: &mut World, number: CallNumber, job: JobId, deadline_ms: u64, now_ms: u64) {
-    if world.holding.is_holding() && world.jobs.find(job).is_some() {
+    if world.holding.is_holding() && world.jobs.find(&job).is_some() {
         world.front.insert(OpenCall::new(number, job, CallStage::Cancelling, deadline_ms, now_ms));
         return store_cancel(world, number, now_ms);
     }
--- a/crates/cassiahoist_jobs/src/learn.rs
+++ b/crates/cassiahoist_jobs/src/learn.rs
@@ -69,7 +69,7 @@
 }
 
 fn inherit_job(world: &mut World, record: &Arc<JobRecord>, now_ms: u64) {
-    if world.jobs.find(record.id).is_some() {
+    if world.jobs.find(&record.id).is_some() {
         return;
     }
     let progress = world.holding.loading.progress.as_mut().and_then(|rows| rows.remove(&record.id));
@@ -82,7 +82,7 @@
 pub(crate) fn learn_job(world: &mut World, record: &Arc<JobRecord>, now_ms: u64) {
     // A job of a later claim is for a later holder to start.
     let ours = world.holding.fence().is_some_and(|fence| record.claim <= fence);
-    if !ours || world.jobs.find(record.id).is_some() {
+    if !ours || world.jobs.find(&record.id).is_some() {
         return;
     }
     plan_job(world, record, None, now_ms);
@@ -98,7 +98,7 @@
 
 /// Ends a job that its caller cancelled.
 pub(crate) fn cancel_known(world: &mut World, id: JobId, now_ms: u64) {
-    let Some(key) = world.jobs.find(id) else {
+    let Some(key) = world.jobs.find(&id) else {
         world.jobs.cancelled_unknown.insert(id);
         return;
     };
--- a/crates/cassiahoist_runs/src/reports.rs
+++ b/crates/cassiahoist_runs/src/reports.rs
@@ -64,7 +64,7 @@
     let name = running.task.step;
     let size = world
         .jobs
-        .find(name.job)
+        .find(&name.job)
         .and_then(|job| world.jobs.get(job))
         .and_then(|job| job.record.spec.steps.get(usize::from(name.step)))
         .map(StepSpec::booked);
--- a/crates/cassiahoist_standins/tests/systems/holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/holder.rs
@@ -73,7 +73,7 @@
     let commit = holder.commits(|call| matches!(call.purpose, StorePurpose::Progress(_)));
     let host = holder.host(0);
     assert_eq!(holder.app.world().hosts.get(host).unwrap().ends_recorded, 0);
-    let job = holder.app.world().jobs.find(JobId(1)).unwrap();
+    let job = holder.app.world().jobs.find(&JobId(1)).unwrap();
     assert_eq!(holder.app.world().jobs.get(job).unwrap().recorded_state, JobState::Queued);
     holder.answer_store(commit[0].clone(), Ok(StoreReply::Committed { revision: 60 }));
     assert_eq!(holder.app.world().hosts.get(host).unwrap().ends_recorded, 1);
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -1,15 +1,16 @@
 //! Backend servers that run tasks.
 
 use std::collections::BTreeSet;
+use std::ops::Deref;
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::HostRules;
 use rustc_hash::{FxHashMap, FxHashSet};
-use slotmap::SlotMap;
 
 pub use crate::keys::HostKey;
 use crate::keys::{JobKey, RunKey};
+use crate::rows::{Row, Rows};
 
 /// What a host says of itself in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -199,11 +200,18 @@
     }
 }
 
+impl Row for Host {
+    type Id = HostName;
+
+    fn id(&self) -> &HostName {
+        &self.report.name
+    }
+}
+
 /// All backend servers that are listed or may still run something.
 #[derive(Debug, Default)]
 pub struct HostTable {
-    rows: SlotMap<HostKey, Host>,
-    by_name: FxHashMap<HostName, HostKey>,
+    rows: Rows<HostKey, Host>,
     largest: FxHashMap<PoolName, Resources>,
     /// Rows whose rules are to be looked up.
     pub unruled: Vec<HostKey>,
@@ -213,14 +221,21 @@
     pub engage_next_ms: u64,
 }
 
+/// Views of its hosts; changes go through the table.
+impl Deref for HostTable {
+    type Target = Rows<HostKey, Host>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.rows
+    }
+}
+
 impl HostTable {
     /// Adds a host, in place of an earlier row of the same name.
     pub fn insert(&mut self, host: Host) -> HostKey {
         self.note_capacity(&host.report);
-        let name = host.report.name.clone();
         let key = self.rows.insert(host);
         self.unruled.push(key);
-        self.by_name.insert(name, key);
         key
     }
 
@@ -246,45 +261,23 @@
 
     /// Removes a host.
     pub fn remove(&mut self, key: HostKey) -> Option<Host> {
-        let host = self.rows.remove(key)?;
         self.engaged.remove(&key);
-        if self.by_name.get(&host.report.name) == Some(&key) {
-            self.by_name.remove(&host.report.name);
-        }
-        Some(host)
+        self.rows.remove(key)
     }
 
     /// Removes every host.
     pub fn clear(&mut self) {
         self.rows.clear();
-        self.by_name.clear();
         self.largest.clear();
         self.unruled.clear();
         self.engaged.clear();
     }
 
-    /// Finds a host by name.
-    #[must_use]
-    pub fn find(&self, name: &HostName) -> Option<HostKey> {
-        self.by_name.get(name).copied()
-    }
-
-    /// Borrows a host.
-    #[must_use]
-    pub fn get(&self, key: HostKey) -> Option<&Host> {
-        self.rows.get(key)
-    }
-
     /// Borrows a host to change it.
     pub fn get_mut(&mut self, key: HostKey) -> Option<&mut Host> {
         self.rows.get_mut(key)
     }
 
-    /// Goes through all hosts.
-    pub fn iter(&self) -> impl Iterator<Item = (HostKey, &Host)> {
-        self.rows.iter()
-    }
-
     /// Goes through all hosts to change them.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (HostKey, &mut Host)> {
         self.rows.iter_mut()
@@ -292,7 +285,7 @@
 
     /// Lets the holder poll a host and give it work.
     pub fn engage(&mut self, key: HostKey) {
-        if self.rows.contains_key(key) {
+        if self.rows.get(key).is_some() {
             self.engaged.insert(key);
         }
     }
@@ -319,22 +312,4 @@
     pub fn engaged_keys(&self) -> Vec<HostKey> {
         self.engaged.iter().copied().collect()
     }
-
-    /// Lists the keys of all hosts.
-    #[must_use]
-    pub fn keys(&self) -> Vec<HostKey> {
-        self.rows.keys().collect()
-    }
-
-    /// Counts hosts.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.rows.len()
-    }
-
-    /// Tells whether there are none.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
 }
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -1,15 +1,17 @@
 //! Jobs, their steps and their tasks.
 
+use std::ops::Deref;
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashSet;
 use slotmap::SlotMap;
 
 use crate::advice::StepAdvice;
 use crate::keys::{HostKey, RunKey};
 pub use crate::keys::{JobKey, StepKey, TaskKey};
 use crate::record::{JobRecord, JobState};
+use crate::rows::{Row, Rows};
 use crate::spec::StepSpec;
 
 /// One accepted job at the holder of its slice.
@@ -103,11 +105,18 @@
     pub not_before_ms: u64,
 }
 
+impl Row for Job {
+    type Id = JobId;
+
+    fn id(&self) -> &JobId {
+        &self.record.id
+    }
+}
+
 /// Jobs, steps and tasks with their indexes.
 #[derive(Debug, Default)]
 pub struct JobTable {
-    jobs: SlotMap<JobKey, Job>,
-    by_id: FxHashMap<JobId, JobKey>,
+    rows: Rows<JobKey, Job>,
     /// Steps.
     pub steps: SlotMap<StepKey, Step>,
     /// Tasks.
@@ -122,19 +131,24 @@
     pub cancelled_unknown: FxHashSet<JobId>,
 }
 
+/// Views of its jobs; changes go through the table.
+impl Deref for JobTable {
+    type Target = Rows<JobKey, Job>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.rows
+    }
+}
+
 impl JobTable {
     /// Adds a job.
     pub fn insert(&mut self, job: Job) -> JobKey {
-        let id = job.record.id;
-        let key = self.jobs.insert(job);
-        self.by_id.insert(id, key);
-        key
+        self.rows.insert(job)
     }
 
     /// Removes a job with its steps and tasks.
     pub fn remove(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.remove(key) else { return };
-        self.by_id.remove(&job.record.id);
+        let Some(job) = self.rows.remove(key) else { return };
         self.dirty.remove(&key);
         for step_key in job.steps {
             self.ready.remove(&step_key);
@@ -160,16 +174,10 @@
         *self = Self::default();
     }
 
-    /// Finds a job by identity.
-    #[must_use]
-    pub fn find(&self, id: JobId) -> Option<JobKey> {
-        self.by_id.get(&id).copied()
-    }
-
     /// Finds a task by name.
     #[must_use]
     pub fn find_task(&self, name: &TaskName) -> Option<TaskKey> {
-        let job = self.jobs.get(self.find(name.step.job)?)?;
+        let job = self.rows.get(self.find(&name.step.job)?)?;
         let per_occurrence = job.record.spec.steps.len();
         let position = name.step.occurrence as usize * per_occurrence + usize::from(name.step.step);
         if usize::from(name.step.step) >= per_occurrence {
@@ -178,21 +186,15 @@
         self.steps.get(*job.steps.get(position)?)?.tasks.get(name.index as usize).copied()
     }
 
-    /// Borrows a job.
-    #[must_use]
-    pub fn get(&self, key: JobKey) -> Option<&Job> {
-        self.jobs.get(key)
-    }
-
     /// Borrows a job to change it.
     pub fn get_mut(&mut self, key: JobKey) -> Option<&mut Job> {
-        self.jobs.get_mut(key)
+        self.rows.get_mut(key)
     }
 
     /// Borrows what was submitted for a step.
     #[must_use]
     pub fn spec(&self, step: &Step) -> Option<&StepSpec> {
-        self.jobs.get(step.job)?.record.spec.steps.get(usize::from(step.name.step))
+        self.rows.get(step.job)?.record.spec.steps.get(usize::from(step.name.step))
     }
 
     /// Borrows a task, its step and what was submitted for it.
@@ -203,25 +205,8 @@
         Some((task, step, self.spec(step)?))
     }
 
-    /// Goes through all jobs.
-    pub fn iter(&self) -> impl Iterator<Item = (JobKey, &Job)> {
-        self.jobs.iter()
-    }
-
     /// Goes through all jobs to change them.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (JobKey, &mut Job)> {
-        self.jobs.iter_mut()
-    }
-
-    /// Counts jobs.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.jobs.len()
-    }
-
-    /// Tells whether there are none.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
+        self.rows.iter_mut()
     }
 }
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod orders;
 pub mod peer;
 pub mod record;
+pub mod rows;
 pub mod runs;
 pub mod schedule;
 pub mod spec;
