Split the tests of single systems by subject

Change: files for recording, placement, lives, calls and runs; the beginning is a method of the test's holder. Conclusion: no test changed what it asserts.

--- /dev/null
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -0,0 +1,154 @@
+//! Calls of callers, and jobs and cancellations that the holder hears of.
+
+use std::sync::Arc;
+
+use cassiahoist_core::prelude::*;
+use cassiahoist_standins::workload::{Workload, config_json};
+use cassiahoist_world::effect::Effect;
+use cassiahoist_world::event::Event;
+use cassiahoist_world::front::{CallAction, FrontAnswer, FrontCall};
+use cassiahoist_world::orders::{Order, RunEnding};
+use cassiahoist_world::peer::{PeerMessage, Sender};
+use cassiahoist_world::record::MemberRecord;
+use cassiahoist_world::store::StorePurpose;
+
+use crate::support::{FENCE, Holder, end, ends, record, step, task_name};
+
+#[test]
+fn cancelled_jobs_are_stopped_and_never_start_again() {
+    let mut holder = Holder::with_running(1, 2);
+    let from = Sender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    holder.hear(Event::Peer { from, message: PeerMessage::JobCancelled(JobId(1)) });
+    let stops = holder.orders().filter(|order| matches!(order.order, Order::Stop { .. })).count();
+    assert_eq!(stops, 2);
+    holder.list(
+        0,
+        ends(vec![
+            end(1, &task_name(1, 0, 0), 1, RunEnding::Stopped),
+            end(2, &task_name(1, 0, 1), 1, RunEnding::Stopped),
+        ]),
+    );
+    holder.tick(500);
+    assert!(holder.starts().is_empty());
+}
+
+#[test]
+fn a_cancellation_is_kept_until_its_job_is_known() {
+    let mut holder = Holder::new(1);
+    let from = Sender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    holder.hear(Event::Peer { from: from.clone(), message: PeerMessage::JobCancelled(JobId(1)) });
+    holder.hear(Event::Peer { from, message: PeerMessage::JobStored(record(1, vec![step(1)])) });
+    holder.tick(50);
+    assert!(holder.starts().is_empty());
+}
+
+#[test]
+fn a_job_of_a_later_claim_is_left_to_a_later_holder() {
+    let mut holder = Holder::new(1);
+    let mut later = record(1, vec![step(1)]);
+    Arc::make_mut(&mut later).claim = Fence(FENCE.0 + 1);
+    let from = Sender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    holder.hear(Event::Peer { from, message: PeerMessage::JobStored(later) });
+    assert!(holder.app.world().jobs.is_empty());
+}
+
+/// Puts the stand-ins' first configuration in force.
+fn configure(holder: &mut Holder) {
+    let config = cassiahoist_platform::decode_config(config_json(1, Workload::Plain).to_string().as_bytes());
+    holder.app.world_mut().config.in_force = Some(Arc::new(config.unwrap()));
+}
+
+/// Submits a job to the queue of counter work.
+fn submit(holder: &mut Holder, call: u64, body: &[u8]) {
+    let job = cassiahoist_platform::decode_job(body).unwrap();
+    holder.hear(Event::Front(FrontCall {
+        number: call,
+        host: "desk.example".into(),
+        path: format!("/checks/{}", JobId(call)),
+        action: CallAction::Submit(Ok(Box::new(job))),
+        body_bytes: body.len(),
+        deadline_ms: holder.now_ms + 3_000,
+    }));
+}
+
+/// Gives the answer to a call in the last tick.
+fn answer_to(holder: &Holder, wanted: u64) -> Option<FrontAnswer> {
+    holder.effects.iter().find_map(|effect| match effect {
+        Effect::Answer { call, answer } if *call == wanted => Some(*answer),
+        _ => None,
+    })
+}
+
+const TOO_LARGE: FrontAnswer = FrontAnswer::Error { kind: ErrorKind::SizeTooLarge, retry_ms: None };
+
+#[test]
+fn a_size_that_no_host_has_is_refused_and_not_stored() {
+    let mut holder = Holder::new(1);
+    configure(&mut holder);
+    submit(&mut holder, 9, br#"{"steps":[{"count":1,"cpu":8000},{"count":1,"cpu":8001}]}"#);
+    assert_eq!(answer_to(&holder, 9), Some(TOO_LARGE));
+    assert!(holder.commits(|call| matches!(call.purpose, StorePurpose::Accept(_))).is_empty());
+    submit(&mut holder, 10, br#"{"steps":[{"count":20,"cpu":8000}]}"#);
+    assert_eq!(answer_to(&holder, 10), None);
+    assert_eq!(holder.commits(|call| matches!(call.purpose, StorePurpose::Accept(_))).len(), 1);
+}
+
+#[test]
+fn daemons_learn_the_sizes_of_hosts_from_the_holder() {
+    let mut holder = Holder::new(1);
+    holder.app.world_mut().members.insert(MemberRecord {
+        incarnation: "edge-1#1".parse().unwrap(),
+        peer_address: "10.1.0.1:7720".into(),
+        domain: FailureDomain::new("obihiro").unwrap(),
+    });
+    holder.tick(10);
+    let heartbeat = holder.effects.iter().find_map(|effect| match effect {
+        Effect::Peer { message: message @ PeerMessage::Heartbeat { .. }, .. } => Some(message.clone()),
+        _ => None,
+    });
+    let mut server = Holder::standby();
+    configure(&mut server);
+    let large = br#"{"steps":[{"count":1,"cpu":9000}]}"#;
+    submit(&mut server, 8, large);
+    assert_eq!(answer_to(&server, 8), None, "nothing is known of hosts yet");
+    let from = Sender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    server.hear(Event::Peer { from, message: heartbeat.unwrap() });
+    submit(&mut server, 9, large);
+    assert_eq!(answer_to(&server, 9), Some(TOO_LARGE));
+    server.tick(6_000);
+    submit(&mut server, 10, large);
+    assert_eq!(answer_to(&server, 10), None, "the holder's word is too old");
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_asks_a_peer() {
+    let mut holder = Holder::new(0);
+    configure(&mut holder);
+    let world = holder.app.world_mut();
+    world.members.insert(MemberRecord {
+        incarnation: "edge-1#1".parse().unwrap(),
+        peer_address: "10.1.0.1:7720".into(),
+        domain: FailureDomain::new("obihiro").unwrap(),
+    });
+    world.store.failing_since_ms = Some(500);
+    submit(&mut holder, 9, br#"{"steps":[{"count":1}]}"#);
+    let relayed = holder.effects.iter().any(|effect| {
+        matches!(effect, Effect::Peer { address, message: PeerMessage::Relay { call: 9, .. } }
+            if address == "10.1.0.1:7720")
+    });
+    assert!(relayed, "{:?}", holder.effects);
+    assert_eq!(holder.commits(|call| matches!(call.purpose, StorePurpose::Accept(_))).len(), 0);
+    // The peer does not answer: what it did is not known, so no refusal may say that the job has not run.
+    for _ in 0..60 {
+        holder.tick(100);
+        let answer = holder.effects.iter().find_map(|effect| match effect {
+            Effect::Answer { call: 9, answer } => Some(*answer),
+            _ => None,
+        });
+        if let Some(answer) = answer {
+            assert!(matches!(answer, FrontAnswer::Error { kind: ErrorKind::RecordUncertain, .. }));
+            return;
+        }
+    }
+    panic!("no answer before the deadline");
+}
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -1,7 +1,11 @@
 //! Single systems over a holder's tables.
 
+mod calls;
 mod declared;
 mod engage;
 mod follow;
-mod holder;
+mod lives;
+mod placement;
+mod recording;
+mod runs;
 mod support;
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -116,6 +116,24 @@
         self.tick(1)
     }
 
+    /// Creates a holder of a job of one step, of which the tasks that have room run.
+    pub fn with_running(hosts: u64, tasks: u32) -> Self {
+        let mut holder = Self::new(hosts);
+        holder.add_job(1, vec![step(tasks)]);
+        holder.tick(10);
+        holder.confirm_starts();
+        holder
+    }
+
+    /// Lets hosts confirm the starts of the last tick.
+    pub fn confirm_starts(&mut self) {
+        let starts = self.orders().filter(|order| matches!(order.order, Order::Start { .. }));
+        let starts: Vec<HostOrder> = starts.cloned().collect();
+        for order in starts {
+            self.answer(order, OrderOutcome::Done { lists: None }, Some(2_000));
+        }
+    }
+
     /// Adds a job without advice.
     pub fn add_job(&mut self, id: u64, steps: Vec<StepSpec>) -> JobKey {
         let now_ms = self.now_ms;
@@ -242,3 +260,13 @@
     let key = StoreKey::Host(report.name.clone());
     StoreChange::Written(StoreItem { key, value: StoreValue::Host(Box::new(report)), revision: 70 })
 }
+
+/// A list of what runs, and of no ends.
+pub fn lists(running: Vec<RunningReport>) -> HostLists {
+    HostLists { born_unix_ms: None, running, ended: Vec::new() }
+}
+
+/// A list of ends, and of nothing that runs.
+pub fn ends(ended: Vec<EndReport>) -> HostLists {
+    HostLists { born_unix_ms: None, running: Vec::new(), ended }
+}
