Let the strongest daemon hold the slice, and let a slow one hand it over

Ruled out: connections over the hosts' cap (none were reset in these plays) and the length of leases. Change: each page of a range gets the whole patience, which counts the way of a page over the daemon's link; members tell their processor and link, and the strongest claims first; a holder to which even the quickest host's answers take 100 ms in two spans of 300 ms hands over and lets others claim first for 15 s. Tests: pages, narrow links, ranks, settings, and five for the hand-over.

--- a/crates/cassiahoist_core/src/bounds.rs
+++ b/crates/cassiahoist_core/src/bounds.rs
@@ -1,4 +1,4 @@
-//! Times that the platform guarantees or asks for.
+//! Times that the platform guarantees or asks for, and what it gives a daemon.
 
 use serde::{Deserialize, Serialize};
 
@@ -22,3 +22,20 @@
         Self { run_lease_ms: 6_000, grace_ms: 6_000, status_ms: 120_000, min_lease_ms: 1_000 }
     }
 }
+
+/// What a daemon's machine gives it; the strongest daemon holds the slice if it can.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Thousandths of a processor.
+    pub cpu_milli: u32,
+    /// Bandwidth of its link, in megabits a second.
+    pub link_mbps: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { cpu_milli: 1_000, link_mbps: 1_000 }
+    }
+}
--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -66,6 +66,7 @@
     204 ClaimReleased Info "This daemon handed the slice over.";
     205 MemberJoined Info "A daemon appeared in the store.";
     206 MemberLeft Info "A daemon's entry left the store.";
+    207 HolderSlow Warning "This daemon is too slow to hold the slice and hands it over.";
     300 StoreUnreachable Warning "The store does not answer.";
     301 StoreReachable Info "The store answers again.";
     302 StoreItemSkipped Warning "An item of the store can't be used.";
--- a/crates/cassiahoist_core/src/lib.rs
+++ b/crates/cassiahoist_core/src/lib.rs
@@ -21,7 +21,7 @@
 
 /// The types nearly every crate uses.
 pub mod prelude {
-    pub use crate::bounds::Bounds;
+    pub use crate::bounds::{Bounds, Limits};
     pub use crate::error::{ErrorKind, HoistError};
     pub use crate::event_id::{EventId, Severity};
     pub use crate::name::{
--- a/crates/cassiahoist_daemon/src/app.rs
+++ b/crates/cassiahoist_daemon/src/app.rs
@@ -36,6 +36,7 @@
         domain: settings.daemon.failure_domain.clone(),
         peer_address: settings.listen.peers.to_string(),
         bounds: Bounds { run_lease_ms: bounds.run_lease_ms.min(RUN_LEASE_LIMIT_MS), ..*bounds },
+        limits: settings.limits,
         stop: StopState::Running,
         unix_ms: 0,
     }
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -18,9 +18,12 @@
 /// How long a claim may take, in milliseconds.
 const PATIENCE_MS: u64 = 800;
 
-/// Head start of each daemon before the next one by name, in milliseconds, so that claims seldom collide.
+/// Head start of each daemon before the next weaker one, in milliseconds, so that claims seldom collide.
 const STAGGER_MS: u64 = 60;
 
+/// Head start of others before a daemon that was too slow to hold the slice, in milliseconds.
+const RELUCTANCE_MS: u64 = 2_000;
+
 /// Pause after a failed claim, in milliseconds.
 const RETRY_MS: u64 = 250;
 
@@ -49,8 +52,10 @@
         (Some((claim, _)), _) if claim.holder.member == own.member && claim.holder != *own => retry_ms,
         (None, Some(since_ms)) => {
             let last = holding.last_holder.as_ref().map(|holder| &holder.member);
-            let rank = world.members.rank(&own.member, last.filter(|last| **last != own.member));
-            retry_ms.max(since_ms + rank as u64 * STAGGER_MS)
+            let rank =
+                world.members.rank(&own.member, world.local.limits, last.filter(|last| **last != own.member));
+            let held_back_ms = if now_ms < holding.reluctant_until_ms { RELUCTANCE_MS } else { 0 };
+            retry_ms.max(since_ms + held_back_ms + rank as u64 * STAGGER_MS)
         }
         _ => return ClaimStep::Leave,
     };
--- a/crates/cassiahoist_membership/src/follow.rs
+++ b/crates/cassiahoist_membership/src/follow.rs
@@ -9,8 +9,16 @@
 /// seconds after which the store counts as stable again.
 const WATCH_WAIT_MS: u64 = 2_200;
 
-/// How long a listing may take, in milliseconds.
-const LIST_PATIENCE_MS: u64 = 1_500;
+/// How long a page of a listing may take beside its way over the link, in milliseconds.
+const PAGE_PATIENCE_MS: u64 = 1_500;
+
+/// Most that a page holds, in megabits, times the listings that a new holder makes at the same time.
+const PAGES_MEGABITS: u64 = 8 * 3;
+
+/// Gives how long a page of a listing may take on this daemon's link, in milliseconds.
+pub(crate) fn page_patience_ms(world: &World) -> u64 {
+    PAGE_PATIENCE_MS + PAGES_MEGABITS * 1_000 / u64::from(world.local.limits.link_mbps.max(1))
+}
 
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 250;
@@ -124,7 +132,7 @@
 }
 
 fn follow_range(world: &mut World, space: KeySpace, now_ms: u64) {
-    let patience_ms = world.store.patience_ms();
+    let (patience_ms, page_patience_ms) = (world.store.patience_ms(), page_patience_ms(world));
     let follow = world.store.follows.entry(space).or_default();
     if follow.in_flight {
         return;
@@ -136,7 +144,7 @@
     follow.in_flight = true;
     let (op, patience_ms) = match follow.revision {
         Some(after) => (StoreOp::Watch { space, after, wait_ms: WATCH_WAIT_MS }, WATCH_WAIT_MS + patience_ms),
-        None => (StoreOp::List(space), LIST_PATIENCE_MS),
+        None => (StoreOp::List(space), page_patience_ms),
     };
     world.call_store(StorePurpose::Follow(space), op, now_ms, patience_ms);
 }
--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod claim;
 mod doubt;
+mod fitness;
 mod follow;
 mod lease;
 mod load;
@@ -27,6 +28,7 @@
     fn build(&self, app: &mut App) {
         app.add_system(TickSet::Receive, follow::sort_store_answers)
             .add_system(TickSet::Membership, doubt::doubt_after_pause)
+            .add_system(TickSet::Membership, fitness::judge_fitness)
             .add_system(TickSet::Membership, stop::begin_stop)
             .add_system(TickSet::Membership, lease::read_lease_answers)
             .add_system(TickSet::Membership, lease::keep_lease)
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -10,9 +10,7 @@
 };
 
 use crate::claim::SLICE;
-
-/// How long a reading may take, in milliseconds.
-const PATIENCE_MS: u64 = 2_000;
+use crate::follow::page_patience_ms;
 
 /// Pause after a failed reading, in milliseconds.
 const RETRY_MS: u64 = 150;
@@ -31,13 +29,15 @@
     }
     if loading.progress.is_none() && !loading.progress_in_flight {
         world.holding.loading.progress_in_flight = true;
-        world.call_store(StorePurpose::LoadProgress, StoreOp::List(KeySpace::Progress), now_ms, PATIENCE_MS);
+        let patience_ms = page_patience_ms(world);
+        world.call_store(StorePurpose::LoadProgress, StoreOp::List(KeySpace::Progress), now_ms, patience_ms);
     }
     let loading = &world.holding.loading;
     if !loading.roster_loaded && loading.roster.is_none() && !loading.roster_in_flight {
         world.holding.loading.roster_in_flight = true;
         let op = StoreOp::Get(StoreKey::HostRoster(SLICE));
-        world.call_store(StorePurpose::LoadRoster, op, now_ms, PATIENCE_MS);
+        let patience_ms = page_patience_ms(world);
+        world.call_store(StorePurpose::LoadRoster, op, now_ms, patience_ms);
     }
 }
 
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -170,6 +170,7 @@
         incarnation: world.local.incarnation.clone(),
         peer_address: world.local.peer_address.clone(),
         domain: world.local.domain.clone(),
+        limits: world.local.limits,
     };
     let key = StoreKey::Member(record.incarnation.member.clone());
     let transaction = Transaction::default().with_leased(key, StoreValue::Member(record), lease);
--- a/crates/cassiahoist_membership/src/step_down.rs
+++ b/crates/cassiahoist_membership/src/step_down.rs
@@ -24,6 +24,7 @@
         world.holding.greatest_fence = world.holding.greatest_fence.max(by);
     }
     let fence = world.holding.fence();
+    world.holding.unfit_since_ms = None;
     world.holding.handle(HoldingEvent::Deposed);
     if fence.is_some() {
         let event = if cause == Cause::Released { EventId::ClaimReleased } else { EventId::ClaimLost };
--- a/crates/cassiahoist_membership/src/stop.rs
+++ b/crates/cassiahoist_membership/src/stop.rs
@@ -33,7 +33,10 @@
 /// Hands the slice over once progress is recorded.
 pub fn release_claim(world: &mut World, now_ms: u64) {
     for _answered in world.inbox.take_store(|purpose| *purpose == StorePurpose::Release) {}
-    let StopState::Stopping { since_ms } = world.local.stop else { return };
+    let since_ms = match (world.local.stop, world.holding.unfit_since_ms) {
+        (StopState::Stopping { since_ms }, _) | (StopState::Running, Some(since_ms)) => since_ms,
+        (StopState::Running, None) => return,
+    };
     let Some(fence) = world.holding.fence() else { return };
     let flushing = world.commits.flush.is_some() || !world.jobs.dirty.is_empty();
     if flushing && now_ms < since_ms + FLUSH_LIMIT_MS {
--- a/crates/cassiahoist_settings/src/lib.rs
+++ b/crates/cassiahoist_settings/src/lib.rs
@@ -42,6 +42,9 @@
     /// Times that the platform guarantees or asks for.
     #[serde(default)]
     pub bounds: Bounds,
+    /// What the daemon's machine gives it.
+    #[serde(default)]
+    pub limits: Limits,
     /// How it logs.
     #[serde(default)]
     pub log: LogSettings,
@@ -157,6 +160,9 @@
     if bounds.grace_ms < 2_000 {
         return impossible("bounds.grace_ms", "a graceful stop takes 2,000 ms or more");
     }
+    if settings.limits.cpu_milli == 0 || settings.limits.link_mbps == 0 {
+        return impossible("limits", "a daemon needs a processor and a link");
+    }
     let listen = &settings.listen;
     let named = [
         ("listen.callers", listen.callers),
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -216,6 +216,7 @@
             domain,
             peer_address: peer_address(number),
             bounds: Bounds { run_lease_ms: RUN_LEASE_LIMIT_MS, ..Bounds::default() },
+            limits: Limits::default(),
             stop: StopState::Running,
             unix_ms: life,
         }));
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -100,6 +100,7 @@
         incarnation: "edge-1#1".parse().unwrap(),
         peer_address: "10.1.0.1:7720".into(),
         domain: FailureDomain::new("obihiro").unwrap(),
+        limits: Limits::default(),
     });
     holder.tick(10);
     let heartbeat = holder.effects.iter().find_map(|effect| match effect {
@@ -129,6 +130,7 @@
         incarnation: "edge-1#1".parse().unwrap(),
         peer_address: "10.1.0.1:7720".into(),
         domain: FailureDomain::new("obihiro").unwrap(),
+        limits: Limits::default(),
     });
     world.store.failing_since_ms = Some(500);
     submit(&mut holder, 9, br#"{"steps":[{"count":1}]}"#);
--- /dev/null
+++ b/crates/cassiahoist_standins/tests/systems/fitness.rs
@@ -0,0 +1,109 @@
+//! A holder that is too slow hands the slice over.
+
+use cassiahoist_core::prelude::*;
+use cassiahoist_world::event::Event;
+use cassiahoist_world::orders::{HostOrder, Order, OrderAnswered, OrderOutcome};
+use cassiahoist_world::record::MemberRecord;
+use cassiahoist_world::store::{KeySpace, StoreChange, StoreKey, StorePurpose};
+
+use crate::support::{FENCE, Holder, report};
+
+/// Time between answers, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// A settled holder, with another daemon beside it.
+fn settled() -> Holder {
+    let mut holder = Holder::new(6);
+    holder.app.world_mut().members.insert(MemberRecord {
+        incarnation: "edge-1#1".parse().unwrap(),
+        peer_address: "10.1.0.1:7720".into(),
+        domain: FailureDomain::new("obihiro").unwrap(),
+        limits: Limits::default(),
+    });
+    holder.tick(3_000);
+    holder
+}
+
+/// Lets all hosts answer every 100 ms for some time; the first one takes `quickest_ms` and the others 400 ms.
+///
+/// Tells whether the claim was released.
+fn answer_for(holder: &mut Holder, time_ms: u64, quickest_ms: u64) -> bool {
+    let until_ms = holder.now_ms + time_ms;
+    let mut released = false;
+    while holder.now_ms < until_ms {
+        for number in 0..6 {
+            let took_ms = if number == 0 { quickest_ms } else { 400 };
+            let started_ms = holder.now_ms + TICK_MS - took_ms;
+            let order = HostOrder {
+                host: holder.host(number),
+                name: report(number).name,
+                address: report(number).address,
+                fence: FENCE,
+                order: Order::Pace {
+                    run: cassiahoist_world::runs::RunKey::default(),
+                    task: "0000000000000001.0.0.0".parse().unwrap(),
+                    number: 1,
+                    percent: 100,
+                },
+                patience_ms: 800,
+            };
+            holder.app.receive(Event::Order(Box::new(OrderAnswered {
+                order,
+                started_ms,
+                clock_ms: Some(holder.now_ms + 9_000),
+                answered_ms: holder.now_ms,
+                outcome: OrderOutcome::Done { lists: None },
+            })));
+        }
+        holder.tick(TICK_MS);
+        released |= holder.store_calls().any(|call| call.purpose == StorePurpose::Release);
+        if released {
+            return true;
+        }
+    }
+    released
+}
+
+#[test]
+fn a_holder_to_which_every_host_seems_slow_hands_over() {
+    let mut holder = settled();
+    assert!(answer_for(&mut holder, 2_000, 150));
+    assert!(!holder.app.world().holding.is_holding());
+}
+
+#[test]
+fn slow_hosts_beside_a_quick_one_are_no_reason() {
+    assert!(!answer_for(&mut settled(), 3_000, 20));
+}
+
+#[test]
+fn a_short_delay_is_no_reason() {
+    let mut holder = settled();
+    assert!(!answer_for(&mut holder, 200, 150));
+    assert!(!answer_for(&mut holder, 2_000, 5));
+}
+
+#[test]
+fn a_daemon_without_others_keeps_the_slice() {
+    let mut holder = settled();
+    holder.app.world_mut().members.remove(&MemberName::new("edge-1").unwrap());
+    assert!(!answer_for(&mut holder, 3_000, 150));
+}
+
+#[test]
+fn a_daemon_that_was_too_slow_lets_others_claim_first() {
+    let mut holder = settled();
+    assert!(answer_for(&mut holder, 2_000, 150));
+    holder.watch(
+        KeySpace::Cell,
+        vec![StoreChange::Removed { key: StoreKey::Claim(SliceId(0)), revision: 90 }],
+        90,
+    );
+    let vacant_ms = holder.now_ms;
+    let claims = |holder: &Holder| holder.store_calls().any(|call| call.purpose == StorePurpose::Claim);
+    while !claims(&holder) {
+        holder.tick(50);
+        assert!(holder.now_ms < vacant_ms + 5_000, "it claims in the end");
+    }
+    assert!(holder.now_ms >= vacant_ms + 1_900);
+}
--- a/crates/cassiahoist_standins/tests/systems/follow.rs
+++ b/crates/cassiahoist_standins/tests/systems/follow.rs
@@ -57,3 +57,17 @@
     assert!(pause_after(3) >= 400);
     assert_eq!(pause_after(500), 0);
 }
+
+#[test]
+fn a_listing_on_a_narrow_link_is_given_time_for_its_pages() {
+    let patience_ms = |link_mbps: u32| {
+        let mut daemon = Holder::standby();
+        daemon.app.world_mut().local.limits.link_mbps = link_mbps;
+        daemon.tick(1);
+        let listing = daemon.store_calls().find(|call| matches!(call.op, StoreOp::List(_)));
+        listing.unwrap().deadline_ms - daemon.now_ms
+    };
+    assert_eq!(patience_ms(1_000), 1_524);
+    // Three pages of a megabyte take 2.4 s on such a link.
+    assert_eq!(patience_ms(10), 3_900);
+}
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -1,8 +1,10 @@
 //! Single systems over a holder's tables.
 
 mod calls;
+mod claims;
 mod declared;
 mod engage;
+mod fitness;
 mod follow;
 mod lives;
 mod placement;
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -197,6 +197,7 @@
         incarnation: own,
         peer_address: "10.1.0.0:7720".into(),
         domain: FailureDomain::new("obihiro").unwrap(),
+        limits: Limits::default(),
     });
     for id in 1..=6 {
         let mut advised = record(id, vec![step(1)]);
--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -37,10 +37,12 @@
 
     /// Performs a call, page by page if it reads a range.
     async fn perform(&self, op: &StoreOp, deadline_ms: u64) -> Result<StoreReply, StoreFailure> {
+        // A long range takes many pages, and each of them gets the whole patience.
+        let patience_ms = deadline_ms.saturating_sub(self.clock.now_ms());
         let first = self.page(op, None, deadline_ms).await?;
         let (mut reply, mut next) = (first.reply, first.next);
         while let Some(after) = next {
-            let page = self.page(op, Some(&after), deadline_ms).await?;
+            let page = self.page(op, Some(&after), self.clock.now_ms() + patience_ms).await?;
             next = page.next;
             // Watching goes on from the first page, so that nothing between the pages is missed.
             if let (StoreReply::Items { items, .. }, StoreReply::Items { items: more, .. }) =
--- /dev/null
+++ b/crates/cassiahoist_traffic/tests/store_client.rs
@@ -0,0 +1,77 @@
+//! Calls to a slow store over loopback.
+
+use std::convert::Infallible;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
+use cassiahoist_core::prelude::*;
+use cassiahoist_traffic::clock::MonotonicClock;
+use cassiahoist_traffic::control_link::{ControlInput, ControlLink};
+use cassiahoist_traffic::front_server::text_response;
+use cassiahoist_traffic::protocol::{StorePage, StoreProtocol, WholeRequest};
+use cassiahoist_traffic::store_client::StoreClient;
+use cassiahoist_world::event::Event;
+use cassiahoist_world::store::{KeySpace, StoreCall, StoreFailure, StoreOp, StorePurpose, StoreReply};
+use hyper::Request;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Pages of the range.
+const PAGES: u64 = 4;
+
+/// Time that the store takes for each page.
+const PAGE_TIME: Duration = Duration::from_millis(60);
+
+/// Patience of the call, in milliseconds: enough for each page, not for all of them together.
+const PATIENCE_MS: u64 = 150;
+
+/// Ranges in numbered pages.
+#[derive(Clone, Copy, Debug)]
+struct Pages;
+
+impl StoreProtocol for Pages {
+    fn write_op(&self, _op: &StoreOp, page: Option<&str>) -> Result<WholeRequest, HoistError> {
+        let request = Request::builder().uri(format!("/{}", page.unwrap_or("1"))).header("host", "store");
+        request
+            .body(http_body_util::Full::default())
+            .map_err(|error| HoistError::BadMessage(error.to_string()))
+    }
+
+    fn read_reply(&self, _op: &StoreOp, _status: u16, body: &[u8]) -> Result<StorePage, StoreFailure> {
+        let text = std::str::from_utf8(body).map_err(|_unreadable| StoreFailure::Unknown)?;
+        let page: u64 = text.trim_start_matches('/').parse().map_err(|_unreadable| StoreFailure::Unknown)?;
+        let reply = StoreReply::Items { items: Vec::new(), revision: page };
+        Ok(StorePage { reply, next: (page < PAGES).then(|| (page + 1).to_string()) })
+    }
+}
+
+/// Answers each request with its path, slowly.
+async fn serve(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
+            tokio::time::sleep(PAGE_TIME).await;
+            Ok::<_, Infallible>(text_response(200, "text/plain", request.uri().path().to_owned()))
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        drop(tokio::spawn(connection));
+    }
+}
+
+#[tokio::test]
+async fn each_page_of_a_range_gets_the_whole_patience() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(tokio::spawn(serve(listener)));
+    let clock = MonotonicClock::new();
+    let (sender, inputs) = sync_channel(8);
+    let client = StoreClient::new(Pages, address, clock, ControlLink::new(sender));
+    let started_ms = clock.now_ms();
+    let purpose = StorePurpose::LoadProgress;
+    let op = StoreOp::List(KeySpace::Progress);
+    client.call(StoreCall { purpose, op, deadline_ms: started_ms + PATIENCE_MS }, started_ms);
+    let input = tokio::task::spawn_blocking(move || inputs.recv_timeout(Duration::from_secs(10)));
+    let Ok(ControlInput::Event(Event::Store(answered))) = input.await.unwrap() else { panic!("no answer") };
+    assert_eq!(answered.outcome, Ok(StoreReply::Items { items: Vec::new(), revision: 1 }));
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -31,6 +31,19 @@
     pub next_ms: u64,
 }
 
+/// How quickly hosts' answers reach control, which tells a daemon that is too slow to hold the slice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerPace {
+    /// When the present span ends, in monotonic milliseconds.
+    pub span_end_ms: u64,
+    /// Answers in the present span.
+    pub answers: u32,
+    /// Time of the quickest of them, in milliseconds.
+    pub quickest_ms: u64,
+    /// Spans in a row in which even the quickest answer was slow.
+    pub slow_spans: u32,
+}
+
 /// The slice's holder as this daemon knows it.
 pub struct Holding {
     machine: StateMachine<HoldingMachine>,
@@ -56,6 +69,12 @@
     pub last_holder: Option<Incarnation>,
     /// When the last claim was sent, in monotonic milliseconds.
     pub claimed_ms: u64,
+    /// How quickly hosts' answers reach control.
+    pub pace: AnswerPace,
+    /// Since when this daemon has wanted to hand the slice over, since it is too slow, in monotonic milliseconds.
+    pub unfit_since_ms: Option<u64>,
+    /// Until when other daemons are let go first with a claim, in monotonic milliseconds.
+    pub reluctant_until_ms: u64,
 }
 
 impl fmt::Debug for Holding {
@@ -84,6 +103,9 @@
             loading: Loading::default(),
             last_holder: None,
             claimed_ms: 0,
+            pace: AnswerPace::default(),
+            unfit_since_ms: None,
+            reluctant_until_ms: 0,
         }
     }
 }
--- a/crates/cassiahoist_world/src/local.rs
+++ b/crates/cassiahoist_world/src/local.rs
@@ -26,6 +26,8 @@
     pub peer_address: String,
     /// Times of the platform.
     pub bounds: Bounds,
+    /// What its machine gives it.
+    pub limits: Limits,
     /// Whether it is leaving.
     pub stop: StopState,
     /// The wall clock at this tick, in milliseconds since the epoch.
--- a/crates/cassiahoist_world/src/members.rs
+++ b/crates/cassiahoist_world/src/members.rs
@@ -48,9 +48,13 @@
         self.rows.retain(|name, _| keep(name));
     }
 
-    /// Gives the rank of a daemon among the others, by name.
+    /// Gives the rank of a daemon among the others: the strongest first, then by name.
     #[must_use]
-    pub fn rank(&self, name: &MemberName, left_out: Option<&MemberName>) -> usize {
-        self.rows.keys().filter(|other| *other < name && Some(*other) != left_out).count()
+    pub fn rank(&self, name: &MemberName, limits: Limits, left_out: Option<&MemberName>) -> usize {
+        let before = |other: &MemberRecord| {
+            let other_name = &other.incarnation.member;
+            (other.limits, name) > (limits, other_name) && other_name != name && Some(other_name) != left_out
+        };
+        self.rows.values().filter(|other| before(other)).count()
     }
 }
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -136,6 +136,9 @@
     pub peer_address: String,
     /// The failure domain in which it stands.
     pub domain: FailureDomain,
+    /// What its machine gives it.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// A host that was given orders and may still run something.
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -251,7 +251,7 @@
     pub purpose: StorePurpose,
     /// What.
     pub op: StoreOp,
-    /// When the caller stops waiting, in monotonic milliseconds.
+    /// When the caller stops waiting, for the first page if a range is read, in monotonic milliseconds.
     pub deadline_ms: u64,
 }
 
