Count only the answers that were timed

Cause: the answers of a span were counted with the polls that wait, so that one timed answer could judge a span. Change: each timed answer counts once.

--- a/crates/cassiahoist_membership/src/fitness.rs
+++ b/crates/cassiahoist_membership/src/fitness.rs
@@ -32,12 +32,10 @@
         world.holding.pace = AnswerPace::default();
         return;
     }
-    let quickest_ms = world.inbox.orders.iter().filter_map(|answered| took_ms(answered, now_ms)).min();
-    let count = world.inbox.orders.len() as u32;
     let pace = &mut world.holding.pace;
-    if let Some(quickest_ms) = quickest_ms {
-        pace.quickest_ms = if pace.answers == 0 { quickest_ms } else { pace.quickest_ms.min(quickest_ms) };
-        pace.answers += count;
+    for took_ms in world.inbox.orders.iter().filter_map(|answered| took_ms(answered, now_ms)) {
+        pace.quickest_ms = if pace.answers == 0 { took_ms } else { pace.quickest_ms.min(took_ms) };
+        pace.answers += 1;
     }
     if now_ms >= pace.span_end_ms {
         end_span(pace, now_ms);
