Remove a released claim again until it is gone

Cause: read while looking over the hand-over: its removal was sent once. A process that stops ends its lease and the claim with it, but a slow holder lives on and renews the lease, so that a lost removal would leave a claim that nobody acts on. Change: the removal is repeated every 200 ms until the store has done it or shows that the claim is gone. Test: a_claim_whose_removal_failed_is_removed_again.

--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -40,6 +40,7 @@
             .add_system(TickSet::Membership, load::load_records)
             .add_system(TickSet::Membership, load::finish_adoption)
             .add_system(TickSet::Report, follow::follow_ranges)
+            .add_system(TickSet::Report, stop::confirm_release)
             .add_system(TickSet::Report, stop::release_claim)
             .add_system(TickSet::Report, stop::finish_stop);
     }
--- a/crates/cassiahoist_standins/tests/systems/fitness.rs
+++ b/crates/cassiahoist_standins/tests/systems/fitness.rs
@@ -4,7 +4,7 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{HostOrder, Order, OrderAnswered, OrderOutcome};
 use cassiahoist_world::record::MemberRecord;
-use cassiahoist_world::store::{KeySpace, StoreChange, StoreKey, StorePurpose};
+use cassiahoist_world::store::{KeySpace, StoreChange, StoreFailure, StoreKey, StorePurpose, StoreReply};
 
 use crate::support::{FENCE, Holder, report};
 
@@ -107,3 +107,21 @@
     }
     assert!(holder.now_ms >= vacant_ms + 1_900);
 }
+
+#[test]
+fn a_claim_whose_removal_failed_is_removed_again() {
+    let mut holder = settled();
+    assert!(answer_for(&mut holder, 2_000, 150));
+    let removal =
+        |holder: &Holder| holder.store_calls().find(|call| call.purpose == StorePurpose::Release).cloned();
+    let first = removal(&holder).unwrap();
+    holder.answer_store(first.clone(), Err(StoreFailure::Unknown));
+    holder.tick(250);
+    let second = removal(&holder).unwrap();
+    assert_eq!(second.op, first.op);
+    holder.answer_store(second, Ok(StoreReply::Conflict { items: Vec::new() }));
+    for _ in 0..20 {
+        holder.tick(100);
+        assert!(removal(&holder).is_none());
+    }
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -44,6 +44,23 @@
     pub slow_spans: u32,
 }
 
+/// Whether a claim that was given up is gone from the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Release {
+    /// Nothing is to be removed.
+    #[default]
+    Settled,
+    /// The removal was sent.
+    Sent(Fence),
+    /// The removal has to be sent again.
+    Again {
+        /// The claim's fencing token.
+        fence: Fence,
+        /// When, in monotonic milliseconds.
+        at_ms: u64,
+    },
+}
+
 /// The slice's holder as this daemon knows it.
 pub struct Holding {
     machine: StateMachine<HoldingMachine>,
@@ -69,6 +86,8 @@
     pub last_holder: Option<Incarnation>,
     /// When the last claim was sent, in monotonic milliseconds.
     pub claimed_ms: u64,
+    /// Whether a claim that was given up is gone from the store.
+    pub release: Release,
     /// How quickly hosts' answers reach control.
     pub pace: AnswerPace,
     /// Since when this daemon has wanted to hand the slice over, since it is too slow, in monotonic milliseconds.
@@ -103,6 +122,7 @@
             loading: Loading::default(),
             last_holder: None,
             claimed_ms: 0,
+            release: Release::default(),
             pace: AnswerPace::default(),
             unfit_since_ms: None,
             reluctant_until_ms: 0,
