Begin anew unless every record was read

Cause: read in the review of the change. A claim that lapsed and was won again by the same life went on with its tables once jobs were read, while the end of an adoption asks for jobs, hosts and the roster; without the roster, hosts that may still run something are not waited for, and a task could run twice. A reading from before a claim was also taken for one of it. Change: one check of completeness serves both places; readings count only from the claim on. Tests: a_claim_renewed_before_all_records_were_read_reads_them_again and a_reading_from_before_the_claim_is_not_taken_for_one_of_it fail without the change. Conclusion: this is a mend, not a clean-up: behaviour changes in these two cases.

--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -143,7 +143,7 @@
         .map_or((world.holding.term + 1, 0), |(claim, revision)| (claim.term, *revision));
     let unbroken = world.holding.last_holder.as_ref() == Some(&own)
         && world.holding.term + 1 == term
-        && world.holding.loading.jobs;
+        && world.holding.loading.is_complete();
     world.counters.claims += 1;
     let note = LogNote::new(EventId::ClaimWon).with("fence", fence).with("term", term);
     world.log(note.with("unbroken", unbroken));
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -6,7 +6,7 @@
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::{HostRoster, RosterHost};
 use cassiahoist_world::store::{
-    KeySpace, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
+    KeySpace, StoreAnswered, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
 };
 
 use crate::claim::SLICE;
@@ -41,8 +41,15 @@
     }
 }
 
+/// Takes the answers to readings of the present claim; earlier ones may miss what was written since.
+fn take_readings(world: &mut World, purpose: &StorePurpose) -> Vec<StoreAnswered> {
+    let since_ms = world.holding.since_ms().unwrap_or(u64::MAX);
+    let answers = world.inbox.take_store(|other| other == purpose);
+    answers.into_iter().filter(|answered| answered.started_ms >= since_ms).collect()
+}
+
 fn read_progress_answers(world: &mut World, now_ms: u64) {
-    for answered in world.inbox.take_store(|purpose| *purpose == StorePurpose::LoadProgress) {
+    for answered in take_readings(world, &StorePurpose::LoadProgress) {
         world.holding.loading.progress_in_flight = false;
         match answered.outcome {
             Ok(StoreReply::Items { items, .. }) => {
@@ -64,7 +71,7 @@
 }
 
 fn read_roster_answers(world: &mut World, now_ms: u64) {
-    for answered in world.inbox.take_store(|purpose| *purpose == StorePurpose::LoadRoster) {
+    for answered in take_readings(world, &StorePurpose::LoadRoster) {
         world.holding.loading.roster_in_flight = false;
         let Ok(StoreReply::Item(item)) = answered.outcome else {
             world.holding.loading.next_ms = now_ms + RETRY_MS;
@@ -135,9 +142,7 @@
 
 /// Begins to place work once records and hosts are known.
 pub fn finish_adoption(world: &mut World, now_ms: u64) {
-    let loading = &world.holding.loading;
-    let loaded = loading.jobs && loading.hosts && loading.roster_loaded;
-    if !world.holding.is_adopting() || !loaded {
+    if !world.holding.is_adopting() || !world.holding.loading.is_complete() {
         return;
     }
     world.holding.handle(HoldingEvent::Adopted);
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -1,8 +1,16 @@
 //! Who claims a slice that nobody holds.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_membership::{Cause, step_down};
+use cassiahoist_world::event::Event;
+use cassiahoist_world::holding::HoldingEvent;
 use cassiahoist_world::members::MemberTable;
-use cassiahoist_world::record::MemberRecord;
+use cassiahoist_world::record::{ClaimRecord, MemberRecord};
+use cassiahoist_world::store::{
+    KeySpace, StoreAnswered, StoreChange, StoreItem, StoreKey, StorePurpose, StoreReply, StoreValue,
+};
+
+use crate::support::Holder;
 
 fn member(name: &str, cpu_milli: u32, link_mbps: u32) -> MemberRecord {
     MemberRecord {
@@ -28,3 +36,45 @@
     assert_eq!(["a", "b", "c", "d"].map(|name| rank(name, None)), [3, 0, 1, 2]);
     assert_eq!(rank("c", Some("b")), 0, "the last holder does not count");
 }
+
+#[test]
+fn a_claim_renewed_before_all_records_were_read_reads_them_again() {
+    let mut holder = Holder::new(1);
+    let world = holder.app.world_mut();
+    world.holding.last_holder = Some(world.local.incarnation.clone());
+    world.holding.term = 1;
+    world.holding.loading.roster_loaded = false;
+    // The lease ends while the roster is being read, and the claim is won again before anyone else makes one.
+    step_down(world, Cause::Lapsed, 1_000);
+    let claim = ClaimRecord {
+        holder: world.local.incarnation.clone(),
+        peer_address: world.local.peer_address.clone(),
+        term: 2,
+    };
+    world.holding.claimed_ms = 1_000;
+    let item = StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision: 90 };
+    holder.watch(KeySpace::Cell, vec![StoreChange::Written(item)], 90);
+    let holding = &holder.app.world().holding;
+    assert_eq!(holding.fence(), Some(Fence(90)));
+    assert!(!holding.is_holding(), "hosts of the roster may still run something");
+}
+
+#[test]
+fn a_reading_from_before_the_claim_is_not_taken_for_one_of_it() {
+    let mut daemon = Holder::standby();
+    let now_ms = daemon.now_ms;
+    let world = daemon.app.world_mut();
+    world.holding.handle(HoldingEvent::ClaimWon { fence: Fence(90), at_ms: now_ms });
+    world.holding.loading.hosts = true;
+    daemon.tick(1);
+    let call = daemon.store_calls().find(|call| call.purpose == StorePurpose::LoadRoster).cloned().unwrap();
+    let answered = |started_ms| StoreAnswered {
+        purpose: call.purpose.clone(),
+        started_ms,
+        outcome: Ok(StoreReply::Item(None)),
+    };
+    daemon.hear(Event::Store(Box::new(answered(now_ms - 1))));
+    assert!(!daemon.app.world().holding.loading.roster_loaded);
+    daemon.hear(Event::Store(Box::new(answered(now_ms + 1))));
+    assert!(daemon.app.world().holding.loading.roster_loaded);
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -31,6 +31,14 @@
     pub next_ms: u64,
 }
 
+impl Loading {
+    /// Tells whether everything that an earlier holder left is in the tables.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.jobs && self.hosts && self.roster_loaded
+    }
+}
+
 /// How quickly hosts' answers reach control, which tells a daemon that is too slow to hold the slice.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AnswerPace {
