Share what the change wrote twice

Change: the longest lease is a property of the bounds; Host::suits and World::pool_of serve placement, advice and engagement, which had its own copies and went by the pool of a job's acceptance; what is in force for a step is looked up once for its tasks and not for each; progress goes over engaged hosts only; leases of the roster are set at the end of an adoption and not before as well; the simulation uses the adapter's words for states; the check of versions needs no collector of its own; five functions that nothing called are gone. Ruled out: one error type for settings and declarations, whose checks differ; sharing enums that only have the same shape. On fleets of more than 64 hosts a pool, a queue that was moved to another pool engages hosts of the new one. Conclusion: no other behaviour change.

--- a/crates/cassiahoist_core/src/bounds.rs
+++ b/crates/cassiahoist_core/src/bounds.rs
@@ -17,6 +17,15 @@
     pub min_lease_ms: u64,
 }
 
+impl Bounds {
+    /// Gives the longest time that runs outlive the last order to their host, by a daemon's clock, in milliseconds.
+    #[must_use]
+    pub fn longest_lease_ms(&self) -> u64 {
+        // A host's clock may run 2% slow; the rest covers its timers.
+        self.run_lease_ms + self.run_lease_ms / 40 + 100
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self { run_lease_ms: 6_000, grace_ms: 6_000, status_ms: 120_000, min_lease_ms: 1_000 }
--- a/crates/cassiahoist_core/src/resources.rs
+++ b/crates/cassiahoist_core/src/resources.rs
@@ -50,16 +50,6 @@
         }
     }
 
-    /// Multiplies by a count of tasks.
-    #[must_use]
-    pub fn times(&self, count: u32) -> Self {
-        Self {
-            cpu_milli: self.cpu_milli.saturating_mul(u64::from(count)),
-            memory_mib: self.memory_mib.saturating_mul(u64::from(count)),
-            accelerators: self.accelerators.saturating_mul(count),
-        }
-    }
-
     /// Takes a share, in percent.
     #[must_use]
     pub fn percent(&self, percent: u8) -> Self {
@@ -93,10 +83,4 @@
             .max(share(self.memory_mib, total.memory_mib))
             .max(share(u64::from(self.accelerators), u64::from(total.accelerators)))
     }
-
-    /// Tells whether nothing is asked for.
-    #[must_use]
-    pub fn is_zero(&self) -> bool {
-        *self == Self::default()
-    }
 }
--- a/crates/cassiahoist_daemon/src/gauges.rs
+++ b/crates/cassiahoist_daemon/src/gauges.rs
@@ -39,7 +39,7 @@
 const GAUGES: [(&str, &str, Reading); 6] = [
     ("cassiahoist_calls_open", "Calls under way", |w| w.front.calls.len() as u64),
     ("cassiahoist_jobs_open", "Jobs known here", |w| w.jobs.len() as u64),
-    ("cassiahoist_runs_open", "Runs that hold room", |w| w.runs.len() as u64),
+    ("cassiahoist_runs_open", "Runs that hold room", |w| w.runs.rows.len() as u64),
     ("cassiahoist_steps_ready", "Steps with waiting tasks", |w| w.jobs.ready.len() as u64),
     ("cassiahoist_holding", "Whether this daemon holds the slice", |w| u64::from(w.holding.is_holding())),
     ("cassiahoist_config_version", "Version in force", |w| {
--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -44,7 +44,7 @@
         "holding": world.holding.is_holding(),
         "members": members,
         "jobs": world.jobs.len(),
-        "runs": world.runs.len(),
+        "runs": world.runs.rows.len(),
     })
 }
 
--- a/crates/cassiahoist_hosts/src/engage.rs
+++ b/crates/cassiahoist_hosts/src/engage.rs
@@ -7,6 +7,7 @@
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::Step;
 use cassiahoist_world::prelude::*;
+use cassiahoist_world::spec::StepSpec;
 use rustc_hash::FxHashMap;
 
 /// Hosts of a pool that are kept free for work to come; a fleet of no more than this is engaged whole.
@@ -27,11 +28,17 @@
 
 /// What a waiting step wants of hosts that are not engaged yet.
 #[derive(Debug)]
-struct Want {
-    pool: PoolName,
-    size: Resources,
-    label: Option<Arc<str>>,
-    rack: Option<Arc<str>>,
+struct Want<'w> {
+    pool: &'w PoolName,
+    spec: &'w StepSpec,
+    /// The rack that its hosts have to be on.
+    rack: Option<&'w Arc<str>>,
+}
+
+impl Want<'_> {
+    fn is_met_by(&self, host: &Host) -> bool {
+        host.suits(self.pool, self.spec) && self.rack.is_none_or(|rack| host.has_label(rack))
+    }
 }
 
 /// Engages hosts while too few are free, and those that waiting steps ask for.
@@ -55,7 +62,7 @@
         let kept = free.get(&host.report.pool).copied().unwrap_or_default();
         let taken = taken.entry(&host.report.pool).or_default();
         let few = kept < FREE_HOSTS && kept + *taken < FREE_HOSTS + GROUP_HOSTS;
-        if few || (*taken < GROUP_HOSTS && wants.iter().any(|want| suits(want, host))) {
+        if few || (*taken < GROUP_HOSTS && wants.iter().any(|want| want.is_met_by(host))) {
             *taken += 1;
             chosen.push(key);
         }
@@ -75,36 +82,27 @@
     host.missing_since_ms.is_none() && host.leaving_since_ms.is_none() && host.silent_since_ms.is_none()
 }
 
-fn list_wants(world: &World, now_ms: u64) -> Vec<Want> {
+fn list_wants(world: &World, now_ms: u64) -> Vec<Want<'_>> {
     let ready = world.jobs.ready.iter().filter_map(|key| world.jobs.steps.get(*key));
     let waiting = ready.filter(|step| !step.pending.is_empty());
     waiting.filter_map(|step| want_of(world, step, now_ms)).collect()
 }
 
 /// Tells what a waiting step wants, if it lacks hosts.
-fn want_of(world: &World, step: &Step, now_ms: u64) -> Option<Want> {
+fn want_of<'w>(world: &'w World, step: &'w Step, now_ms: u64) -> Option<Want<'w>> {
     let spec = world.jobs.spec(step)?;
     let waits_long = now_ms >= step.ready_ms + WAIT_MS;
     // A rack is few hosts, and tasks would be slower elsewhere; later any host is better than none.
-    let rack = spec.data_rack.clone().filter(|_| !waits_long);
+    let rack = spec.data_rack.as_ref().filter(|_| !waits_long);
     if rack.is_none() && !waits_long {
         return None;
     }
-    let pool = world.jobs.get(step.job)?.record.policy.pool.clone();
-    let want = Want { pool, size: spec.size, label: spec.required_label.clone(), rack };
+    let want = Want { pool: world.pool_of(step)?, spec, rack };
     let fitting = world.hosts.iter_engaged().filter(|(key, host)| {
         is_here(host)
-            && suits(&want, host)
+            && want.is_met_by(host)
             && spec.booked().fits_within(&host.room())
             && !step.advice.bad.contains(key)
     });
     (fitting.take(ENOUGH_HOSTS).count() < ENOUGH_HOSTS).then_some(want)
 }
-
-fn suits(want: &Want, host: &Host) -> bool {
-    let has = |label: &Option<Arc<str>>| label.as_ref().is_none_or(|label| host.has_label(label));
-    want.pool == host.report.pool
-        && want.size.fits_within(&host.report.capacity)
-        && has(&want.label)
-        && has(&want.rack)
-}
--- a/crates/cassiahoist_jobs/src/progress.rs
+++ b/crates/cassiahoist_jobs/src/progress.rs
@@ -41,7 +41,7 @@
     world.commits.ends_waiting = false;
     let ends = world
         .hosts
-        .iter()
+        .iter_engaged()
         .filter(|(_, host)| host.ends_read > host.ends_recorded)
         .map(|(key, host)| (key, host.ends_read))
         .collect();
--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -14,7 +14,6 @@
 mod stop;
 
 pub use claim::SLICE;
-pub use load::longest_lease_ms;
 pub use members::learn_claim;
 pub use step_down::{Cause, step_down};
 
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -95,7 +95,6 @@
 
 /// Adds rows for hosts that may run work and are no longer listed.
 fn adopt_host_roster(world: &mut World, roster: &HostRoster, now_ms: u64) {
-    let lease_end_ms = now_ms + longest_lease_ms(world.local.bounds.run_lease_ms);
     for booked in &roster.hosts {
         let listed = world.hosts.find(&booked.name);
         if let Some(key) = listed {
@@ -104,7 +103,6 @@
         match listed.and_then(|key| world.hosts.get_mut(key)) {
             Some(host) if host.report.born_unix_ms == booked.born_unix_ms => {
                 host.in_roster = true;
-                host.lease_end_ms = lease_end_ms;
             }
             // A later life runs nothing of the earlier one.
             Some(_) => {}
@@ -112,7 +110,6 @@
                 let mut host = Host::new(unlisted_report(booked, &world.local.domain), now_ms);
                 host.missing_since_ms = Some(now_ms);
                 host.in_roster = true;
-                host.lease_end_ms = lease_end_ms;
                 let key = world.hosts.insert(host);
                 world.hosts.engage(key);
             }
@@ -133,13 +130,6 @@
     }
 }
 
-/// Gives the longest time that runs outlive the last order to their host, by this daemon's clock.
-#[must_use]
-pub fn longest_lease_ms(run_lease_ms: u64) -> u64 {
-    // A host's clock may run 2% slow; the rest covers its timers.
-    run_lease_ms + run_lease_ms / 40 + 100
-}
-
 /// Begins to place work once records and hosts are known.
 pub fn finish_adoption(world: &mut World, now_ms: u64) {
     if !world.holding.is_adopting() || !world.holding.loading.is_complete() {
@@ -147,10 +137,10 @@
     }
     world.holding.handle(HoldingEvent::Adopted);
     world.holding.polled_from_ms = now_ms;
-    let lease_end_ms = now_ms + longest_lease_ms(world.local.bounds.run_lease_ms);
+    let lease_end_ms = now_ms + world.local.bounds.longest_lease_ms();
     for key in world.hosts.engaged_keys() {
         if let Some(host) = world.hosts.get_mut(key).filter(|host| host.in_roster) {
-            host.lease_end_ms = host.lease_end_ms.max(lease_end_ms);
+            host.lease_end_ms = lease_end_ms;
         }
     }
     let took_ms = now_ms - world.holding.since_ms().unwrap_or(now_ms);
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -12,7 +12,7 @@
 
 use crate::order::steps_in_order;
 use crate::place::ticket;
-use crate::terms::{StepTerms, pool_of};
+use crate::terms::{StepPolicy, StepTerms};
 
 /// Most hosts that one call may name.
 const MAX_HOSTS: usize = 100;
@@ -190,8 +190,8 @@
 
 /// Chooses the hosts that a call names: known good ones first, then those with most room.
 fn hosts_to_name(world: &World, step: &Step, now_ms: u64) -> Vec<HostKey> {
-    let Some(pool) = pool_of(world, step) else { return Vec::new() };
-    let Some(terms) = StepTerms::new(world, step, &pool) else { return Vec::new() };
+    let Some(policy) = StepPolicy::of(world, step) else { return Vec::new() };
+    let Some(terms) = StepTerms::new(world, step, &policy) else { return Vec::new() };
     let queue = world.jobs.get(step.job).map(|job| &job.record.policy.queue);
     let share =
         queue.and_then(|queue| world.advice.good_share.get(queue)).copied().unwrap_or(FIRST_GOOD_SHARE);
--- a/crates/cassiahoist_placement/src/gang.rs
+++ b/crates/cassiahoist_placement/src/gang.rs
@@ -7,10 +7,10 @@
 use rustc_hash::FxHashMap;
 
 use crate::place::{left_of_queue, open_hosts, start_task};
-use crate::terms::StepTerms;
+use crate::terms::{StepPolicy, StepTerms};
 
 /// Starts a gang if there is room for all of its tasks.
-pub(crate) fn place_gang(world: &mut World, key: StepKey, pool: &PoolName, now_ms: u64) {
+pub(crate) fn place_gang(world: &mut World, key: StepKey, policy: &StepPolicy, now_ms: u64) {
     let Some(step) = world.jobs.steps.get(key) else { return };
     // An earlier run has to be over everywhere first.
     if step.pending.len() < step.tasks.len() {
@@ -26,7 +26,7 @@
     if now_ms < waits_until_ms {
         return world.wake_by(waits_until_ms);
     }
-    let Some(terms) = StepTerms::new(world, step, pool) else { return };
+    let Some(terms) = StepTerms::new(world, step, policy) else { return };
     if left_of_queue(world, step, &terms) < step.tasks.len() as u32 {
         return;
     }
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -4,7 +4,6 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::Packing;
-use cassiahoist_membership::longest_lease_ms;
 use cassiahoist_runs::{book_run, inherited_may_start};
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::{Step, StepKey, Task, TaskKey, TaskState};
@@ -15,7 +14,7 @@
 use crate::choose::{Candidate, choose_host};
 use crate::gang::place_gang;
 use crate::order::steps_in_order;
-use crate::terms::{StepTerms, pool_of};
+use crate::terms::{StepPolicy, StepTerms};
 
 /// How long an order to start may take, in milliseconds.
 const START_PATIENCE_MS: u64 = 300;
@@ -58,9 +57,9 @@
 
 fn place_step(world: &mut World, key: StepKey, now_ms: u64) {
     let Some(step) = world.jobs.steps.get(key) else { return };
-    let Some(pool) = pool_of(world, step) else { return };
+    let Some(policy) = StepPolicy::of(world, step) else { return };
     if world.jobs.spec(step).is_some_and(|spec| spec.gang) {
-        return place_gang(world, key, &pool, now_ms);
+        return place_gang(world, key, &policy, now_ms);
     }
     for task in step.pending.clone() {
         let Some(step) = world.jobs.steps.get(key) else { return };
@@ -70,7 +69,7 @@
             world.wake_by(at_ms);
             continue;
         }
-        let Some(terms) = StepTerms::new(world, step, &pool) else { return };
+        let Some(terms) = StepTerms::new(world, step, &policy) else { return };
         if left_of_queue(world, step, &terms) == 0 {
             return;
         }
@@ -85,7 +84,7 @@
 
 /// Counts the tasks of a step's queue that may start beside those that run.
 pub(crate) fn left_of_queue(world: &World, step: &Step, terms: &StepTerms<'_>) -> u32 {
-    let Some(limit) = terms.rules.max_running_tasks else { return u32::MAX };
+    let Some(limit) = terms.policy.rules.max_running_tasks else { return u32::MAX };
     let queue = |job| world.jobs.get(job).map(|job| &job.record.policy.queue);
     let own = queue(step.job);
     let running = world.runs.rows.values().filter_map(|run| world.jobs.task_parts(run.task));
@@ -95,8 +94,11 @@
 
 /// Finds a host for a task.
 fn find_host(world: &World, step: &Step, terms: &StepTerms<'_>, task: &Task, now_ms: u64) -> Option<HostKey> {
-    let packing =
-        terms.rules.packing.unwrap_or(if terms.spec.lasting { Packing::Spread } else { Packing::Pack });
+    let packing = terms.policy.rules.packing.unwrap_or(if terms.spec.lasting {
+        Packing::Spread
+    } else {
+        Packing::Pack
+    });
     let candidates = open_hosts(world, step, terms, now_ms)
         .filter(|(key, host)| terms.fits(*key, host) > 0)
         .map(|(key, host)| candidate(world, terms, key, host, task));
@@ -172,7 +174,7 @@
         row.order_in_flight = true;
     }
     if let Some(host) = world.hosts.get_mut(host_key) {
-        host.lease_end_ms = host.lease_end_ms.max(now_ms + longest_lease_ms(lease_ms));
+        host.lease_end_ms = host.lease_end_ms.max(now_ms + world.local.bounds.longest_lease_ms());
         host.poll.next_ms = host.poll.next_ms.min(now_ms);
     }
     world.counters.starts += 1;
--- a/crates/cassiahoist_placement/src/terms.rs
+++ b/crates/cassiahoist_placement/src/terms.rs
@@ -1,7 +1,5 @@
 //! What a step needs of a host.
 
-use std::sync::Arc;
-
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::QueueRules;
 use cassiahoist_world::hosts::{Host, HostKey};
@@ -10,30 +8,45 @@
 use cassiahoist_world::spec::StepSpec;
 use rustc_hash::FxHashMap;
 
-/// What a step needs of a host, gathered once for all of its tasks.
+/// What configuration and declarations say of a step; the same for all of its tasks.
+#[derive(Clone, Debug)]
+pub(crate) struct StepPolicy {
+    /// The pool that runs the queue's work.
+    pub pool: PoolName,
+    /// What operators rule for the queue.
+    pub rules: QueueRules,
+}
+
+impl StepPolicy {
+    /// Looks up what is in force for a step.
+    pub fn of(world: &World, step: &Step) -> Option<Self> {
+        let queue = &world.jobs.get(step.job)?.record.policy.queue;
+        let pool = world.pool_of(step)?.clone();
+        let rules = world.declared.in_force.queue_rules(queue, &pool);
+        Some(Self { pool, rules })
+    }
+}
+
+/// What a step needs of a host.
 #[derive(Debug)]
 pub(crate) struct StepTerms<'w> {
     /// What was submitted.
     pub spec: &'w StepSpec,
-    /// The pool that runs the queue's work.
-    pub pool: &'w PoolName,
+    /// What is in force for it.
+    pub policy: &'w StepPolicy,
     /// What a task books.
     pub booked: Resources,
     /// Most tasks of the step on one host: the lesser of what was submitted and what operators rule.
     pub max_per_host: Option<u32>,
     /// Tasks of the step on each host, if that is limited.
     pub on_host: FxHashMap<HostKey, u32>,
-    /// What operators rule for the queue.
-    pub rules: QueueRules,
 }
 
 impl<'w> StepTerms<'w> {
-    /// Gathers what a step needs; `pool` is that of the present configuration.
-    pub fn new(world: &'w World, step: &'w Step, pool: &'w PoolName) -> Option<Self> {
+    /// Gathers what a step needs now.
+    pub fn new(world: &'w World, step: &'w Step, policy: &'w StepPolicy) -> Option<Self> {
         let spec = world.jobs.spec(step)?;
-        let queue = &world.jobs.get(step.job)?.record.policy.queue;
-        let rules = world.declared.in_force.queue_rules(queue, pool);
-        let max_per_host = spec.max_per_host.into_iter().chain(rules.max_tasks_per_host).min();
+        let max_per_host = spec.max_per_host.into_iter().chain(policy.rules.max_tasks_per_host).min();
         let mut on_host = FxHashMap::default();
         if max_per_host.is_some() {
             for task in step.tasks.iter().filter_map(|key| world.jobs.tasks.get(*key)) {
@@ -44,14 +57,12 @@
                 }
             }
         }
-        Some(Self { spec, pool, booked: spec.booked(), max_per_host, on_host, rules })
+        Some(Self { spec, policy, booked: spec.booked(), max_per_host, on_host })
     }
 
     /// Tells whether a host could run a task of the step if it had room.
     pub fn suits(&self, host: &Host) -> bool {
-        host.report.pool == *self.pool
-            && self.spec.required_label.as_ref().is_none_or(|label| host.has_label(label))
-            && self.spec.size.fits_within(&host.report.capacity)
+        host.suits(&self.policy.pool, self.spec)
     }
 
     /// Counts the tasks of the step for which a host has room.
@@ -78,10 +89,3 @@
         })
     }
 }
-
-/// Gives the pool to which the configuration in force sends a queue, or that of the job's acceptance.
-pub(crate) fn pool_of(world: &World, step: &Step) -> Option<PoolName> {
-    let policy = Arc::clone(&world.jobs.get(step.job)?.record.policy);
-    let current = world.config.in_force.as_ref().and_then(|config| config.queue(&policy.queue));
-    Some(current.map_or_else(|| policy.pool.clone(), |queue| queue.policy.pool.clone()))
-}
--- a/crates/cassiahoist_runs/src/lapse.rs
+++ b/crates/cassiahoist_runs/src/lapse.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_membership::longest_lease_ms;
 use cassiahoist_world::hosts::{Adoption, HostKey, Orphans, Poll};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
@@ -126,6 +125,6 @@
     if !world.holding.is_holding() {
         return false;
     }
-    now_ms >= world.holding.polled_from_ms + longest_lease_ms(world.local.bounds.run_lease_ms)
+    now_ms >= world.holding.polled_from_ms + world.local.bounds.longest_lease_ms()
         || world.hosts.iter_engaged().all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
 }
--- a/crates/cassiahoist_standins/src/runner.rs
+++ b/crates/cassiahoist_standins/src/runner.rs
@@ -111,12 +111,6 @@
         self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.booked))
     }
 
-    /// Tells whether nothing runs.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.runs.is_empty()
-    }
-
     /// Lets time pass: work gets on, ends, stops and lapses. `gang_ready` tells whether a gang's run is whole.
     pub fn advance(&mut self, now_ms: u64, gang_ready: &dyn Fn(&str, u64) -> bool, trace: &mut Trace) {
         let passed_ms = now_ms - self.advanced_ms;
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -5,7 +5,6 @@
 use cassiahoist_traffic::protocol::FrontProtocol;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::front::{CallAction, CallNumber, FrontAnswer, FrontCall};
-use cassiahoist_world::record::JobState;
 use rand::Rng;
 use rustc_hash::FxHashMap;
 
@@ -265,7 +264,7 @@
 
     fn note_state(&mut self, job: JobId, status: u16, answer: FrontAnswer) {
         let state = match answer {
-            FrontAnswer::State(state) => state_text(state),
+            FrontAnswer::State(state) => front::state_word(state),
             _ => "",
         };
         self.platform.trace.note(self.now_ms, Fact::Shown { job, status, state: state.into() });
@@ -276,13 +275,3 @@
         }
     }
 }
-
-fn state_text(state: JobState) -> &'static str {
-    match state {
-        JobState::Queued => "queued",
-        JobState::Running => "running",
-        JobState::Completed => "completed",
-        JobState::Failed => "failed",
-        JobState::Cancelled => "cancelled",
-    }
-}
--- a/crates/cassiahoist_standins/src/verdict/config.rs
+++ b/crates/cassiahoist_standins/src/verdict/config.rs
@@ -12,6 +12,16 @@
 /// Time after a daemon has shown a version in which calls may still meet an earlier one, in milliseconds.
 const ROLLBACK_SLACK_MS: u64 = 250;
 
+/// A question for a queue of one version, and when it was answered.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    at_ms: u64,
+    daemon: usize,
+    life: u64,
+    version: u64,
+    sent_ms: u64,
+}
+
 /// Versions written, and those that daemons have shown.
 #[derive(Debug, Default)]
 pub(super) struct ConfigCheck {
@@ -30,10 +40,11 @@
                 self.written.push((*version, at_ms));
             }
             Fact::Probed { daemon, life, version, sent_ms, status } => {
-                let (mut check, who) = (Verdicts { at_ms, found }, (*daemon, *life));
+                let probe =
+                    Probe { at_ms, daemon: *daemon, life: *life, version: *version, sent_ms: *sent_ms };
                 match status {
-                    200 => self.read_served(who, *version, *sent_ms, &mut check),
-                    404 => self.read_unknown(who, *version, *sent_ms, &mut check),
+                    200 => self.read_served(&probe, found),
+                    404 => self.read_unknown(&probe, found),
                     _ => {}
                 }
             }
@@ -42,24 +53,6 @@
     }
 }
 
-/// Where verdicts of one fact go.
-struct Verdicts<'f> {
-    at_ms: u64,
-    found: &'f mut Vec<Violation>,
-}
-
-impl Verdicts<'_> {
-    fn blame(&mut self, detail: String) -> &mut Violation {
-        self.found.push(Violation::new(Promise::Config, self.at_ms, detail));
-        let last = self.found.len() - 1;
-        &mut self.found[last]
-    }
-
-    fn blame_in_touch(&mut self, detail: String) {
-        self.blame(detail).scope = super::Scope::InTouch;
-    }
-}
-
 impl ConfigCheck {
     /// Gives the version that has to be in force for a call sent at a time.
     fn due(&self, sent_ms: u64) -> Option<u64> {
@@ -67,27 +60,32 @@
     }
 
     /// A queue that stands in one version only was found.
-    fn read_served(&mut self, who: (usize, u64), version: u64, sent_ms: u64, check: &mut Verdicts<'_>) {
+    fn read_served(&mut self, probe: &Probe, found: &mut Vec<Violation>) {
+        let Probe { at_ms, daemon, life, version, sent_ms } = *probe;
+        let blame = |detail| Violation::new(Promise::Config, at_ms, detail);
         if !self.written.iter().any(|(written, _)| *written == version) {
-            check.blame(format!("daemon {} serves a queue that never was", who.0));
-            return;
+            return found.push(blame(format!("daemon {daemon} serves a queue that never was")));
         }
         if self.due(sent_ms).is_some_and(|due| version < due) {
-            check.blame_in_touch(format!("daemon {} serves a queue dropped with version {version}", who.0));
+            let detail = format!("daemon {daemon} serves a queue dropped with version {version}");
+            found.push(blame(detail).in_touch());
         }
-        let (newest, shown_ms) = self.shown.get(&who).copied().unwrap_or((version, check.at_ms));
+        let (newest, shown_ms) = self.shown.get(&(daemon, life)).copied().unwrap_or((version, at_ms));
         if version < newest && sent_ms > shown_ms + ROLLBACK_SLACK_MS {
-            check.blame(format!("daemon {} went back from version {newest} to {version}", who.0));
+            found.push(blame(format!("daemon {daemon} went back from version {newest} to {version}")));
         }
         if version >= newest {
-            self.shown.insert(who, (version, if version == newest { shown_ms } else { check.at_ms }));
+            self.shown.insert((daemon, life), (version, if version == newest { shown_ms } else { at_ms }));
         }
     }
 
-    fn read_unknown(&mut self, who: (usize, u64), version: u64, sent_ms: u64, check: &mut Verdicts<'_>) {
+    /// A queue was not found.
+    fn read_unknown(&mut self, probe: &Probe, found: &mut Vec<Violation>) {
+        let version = probe.version;
         let newest = self.written.last().is_some_and(|(newest, _)| *newest == version);
-        if newest && self.due(sent_ms) == Some(version) {
-            check.blame_in_touch(format!("daemon {} does not know the queue of version {version}", who.0));
+        if newest && self.due(probe.sent_ms) == Some(version) {
+            let detail = format!("daemon {} does not know the queue of version {version}", probe.daemon);
+            found.push(Violation::new(Promise::Config, probe.at_ms, detail).in_touch());
         }
     }
 }
--- a/crates/cassiahoist_standins/tests/systems/lives.rs
+++ b/crates/cassiahoist_standins/tests/systems/lives.rs
@@ -38,7 +38,7 @@
     let start = holder.orders().find(|order| matches!(order.order, Order::Start { .. })).cloned().unwrap();
     holder.answer(start, OrderOutcome::Refused(RefusalReason::OtherLife), Some(2_000));
     assert!(holder.app.world().hosts.is_empty());
-    assert!(holder.app.world().runs.is_empty());
+    assert!(holder.app.world().runs.rows.is_empty());
     holder.tick(100);
     assert_eq!(holder.orders().count(), 0, "nothing is sent to its address any more");
 }
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -11,6 +11,7 @@
 pub use crate::keys::HostKey;
 use crate::keys::{JobKey, RunKey};
 use crate::rows::{Row, Rows};
+use crate::spec::StepSpec;
 
 /// What a host says of itself in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,7 +48,7 @@
 pub struct Poll {
     /// When the poll under way was sent, in monotonic milliseconds.
     pub sent_ms: Option<u64>,
-    /// When to look next, in monotonic milliseconds.
+    /// When to poll next, in monotonic milliseconds.
     pub next_ms: u64,
 }
 
@@ -64,7 +65,7 @@
     pub quarantines: u32,
 }
 
-/// Runs without a row, as the last look listed them.
+/// Runs without a row, as the last poll listed them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Orphans {
     /// How many there are.
@@ -193,6 +194,14 @@
         self.report.labels.iter().any(|own| **own == *label)
     }
 
+    /// Tells whether it could run a task of a step if it had room.
+    #[must_use]
+    pub fn suits(&self, pool: &PoolName, spec: &StepSpec) -> bool {
+        self.report.pool == *pool
+            && spec.required_label.as_ref().is_none_or(|label| self.has_label(label))
+            && spec.size.fits_within(&self.report.capacity)
+    }
+
     /// Gives its rack, the last of its labels.
     #[must_use]
     pub fn rack(&self) -> Option<&Arc<str>> {
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -90,16 +90,4 @@
         let usual_ms = self.usual_ms.entry(queue.clone()).or_insert(took_ms as f64);
         *usual_ms += LEARNING_RATE * (took_ms as f64 - *usual_ms);
     }
-
-    /// Counts runs.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.rows.len()
-    }
-
-    /// Tells whether there are none.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
 }
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -173,12 +173,6 @@
         self.deletes.push(key);
         self
     }
-
-    /// Counts entries.
-    #[must_use]
-    pub fn entries(&self) -> usize {
-        self.expect.len() + self.puts.len() + self.deletes.len()
-    }
 }
 
 /// What is asked of the store.
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -1,5 +1,7 @@
 //! All tables of one daemon.
 
+use cassiahoist_core::prelude::*;
+
 use crate::advice::AdviceTable;
 use crate::commits::CommitTable;
 use crate::config::ConfigTable;
@@ -10,7 +12,7 @@
 use crate::holding::Holding;
 use crate::hosts::{HostKey, HostTable};
 use crate::inbox::Inbox;
-use crate::jobs::{JobTable, TaskKey};
+use crate::jobs::{JobTable, Step, TaskKey};
 use crate::local::Local;
 use crate::members::MemberTable;
 use crate::notices::Notice;
@@ -131,6 +133,14 @@
         self.runs.usual_ms.get(queue).map(|usual_ms| *usual_ms as u64)
     }
 
+    /// Gives the pool to which the configuration in force sends a step's queue, or that of the job's acceptance.
+    #[must_use]
+    pub fn pool_of(&self, step: &Step) -> Option<&PoolName> {
+        let accepted = &self.jobs.get(step.job)?.record.policy;
+        let current = self.config.in_force.as_ref().and_then(|config| config.queue(&accepted.queue));
+        Some(current.map_or(&accepted.pool, |queue| &queue.policy.pool))
+    }
+
     /// Sends a message to the holder, if one is known and it is another daemon.
     pub fn tell_holder(&mut self, message: PeerMessage) {
         if let Some((claim, _)) = &self.holding.claim
