Keep the rows of unanswered runs while copies run elsewhere

Cause: a host that left an order unanswered lost the rows of all runs whose steps allow copies, though their start orders could still arrive. The next lists, taken before the orders arrived, counted the host as empty: tasks were put into the same room (LIMIT) and beside tasks of their step (ROUTE). Change: such a run is detached from its task and keeps its row; it returns to the task if no copy was placed, and the first to finish stops the others. One function counts the tasks of a step on a host: rows in any state and orphans. Lists that another connection overtook are ignored by the host's own clock. A stop refused as old waits for the next poll, since the run may still be stopping. Ruled out: room of orphans (counted), leases (absolute on the host's clock).

--- a/crates/cassiahoist_jobs/src/job_rows.rs
+++ b/crates/cassiahoist_jobs/src/job_rows.rs
@@ -109,6 +109,7 @@
             state: if is_done { TaskState::Done } else { TaskState::Pending },
             failed_runs: failed_runs.unwrap_or_default(),
             last_run_number: first_run_number,
+            detached_runs: Vec::new(),
             checkpoint: checkpoint.unwrap_or_else(|| Arc::from("")),
             failed_hosts: Vec::new(),
             not_before_ms: 0,
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -229,7 +229,7 @@
         if !is_startable || step.advice.rejected_hosts.contains(&key) {
             continue;
         }
-        let fitting_tasks = requirements.tasks_that_fit(key, host);
+        let fitting_tasks = requirements.tasks_that_fit(host);
         if valid_ticket(step, key, host, now_ms).is_some() {
             wanted_capacity -= f64::from(fitting_tasks.min(step.pending_tasks.len() as u32));
         } else if fitting_tasks > 0 {
--- a/crates/cassiahoist_placement/src/gang.rs
+++ b/crates/cassiahoist_placement/src/gang.rs
@@ -84,7 +84,7 @@
     let mut candidates: Vec<(HostKey, u32, Option<std::sync::Arc<str>>, u32)> =
         startable_hosts(world, step, requirements, now_ms)
             .map(|(key, host)| {
-                (key, requirements.tasks_that_fit(key, host), host.rack().cloned(), host.standing.failures)
+                (key, requirements.tasks_that_fit(host), host.rack().cloned(), host.standing.failures)
             })
             .filter(|(_, fitting_tasks, _, _)| *fitting_tasks > 0)
             .collect();
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -110,7 +110,8 @@
         Packing::Pack
     });
     let candidates = startable_hosts(world, step, requirements, now_ms)
-        .filter(|(key, host)| requirements.tasks_that_fit(*key, host) > 0)
+        .filter(|(_, host)| requirements.tasks_that_fit(host) > 0)
+        .filter(|(key, _)| !has_copy_on(world, task, *key))
         .map(|(key, host)| build_candidate(world, requirements, key, host, task));
     choose_host(candidates, packing)
 }
@@ -150,6 +151,12 @@
     is_valid.then_some(&ticket.text)
 }
 
+/// Returns whether an earlier run of the task may still exist on the host.
+fn has_copy_on(world: &World, task: &Task, host: HostKey) -> bool {
+    let mut copies = task.detached_runs.iter().filter_map(|run| world.runs.rows.get(*run));
+    copies.any(|run| run.host == host)
+}
+
 fn build_candidate(
     world: &World,
     requirements: &StepRequirements<'_>,
--- a/crates/cassiahoist_placement/src/requirements.rs
+++ b/crates/cassiahoist_placement/src/requirements.rs
@@ -4,11 +4,11 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::QueueRules;
-use cassiahoist_world::hosts::{Host, HostKey};
-use cassiahoist_world::jobs::{Step, TaskState};
+use cassiahoist_world::hosts::Host;
+use cassiahoist_world::jobs::Step;
 use cassiahoist_world::prelude::*;
+use cassiahoist_world::runs::RunTable;
 use cassiahoist_world::spec::StepSpec;
-use rustc_hash::FxHashMap;
 
 /// Pool and declared rules of a step, shared by all of its tasks.
 #[derive(Clone, Debug)]
@@ -44,8 +44,10 @@
     ///
     /// The lower of the submitted and the declared maximum; `None` without either.
     pub max_per_host: Option<u32>,
-    /// Number of placed tasks by host; empty without a maximum per host.
-    pub placed_by_host: FxHashMap<HostKey, u32>,
+    /// Name of the step.
+    pub step: StepName,
+    /// All runs, by which tasks on a host are counted.
+    pub runs: &'w RunTable,
 }
 
 impl<'w> StepRequirements<'w> {
@@ -53,22 +55,13 @@
     pub fn new(world: &'w World, step: &'w Step, policy: &'w StepPolicy) -> Option<Self> {
         let spec = world.jobs.step_spec(step)?;
         let max_per_host = spec.max_per_host.into_iter().chain(policy.rules.max_tasks_per_host).min();
-        let mut placed_by_host = FxHashMap::default();
-        if max_per_host.is_some() {
-            for task in step.tasks.iter().filter_map(|key| world.jobs.tasks.get(*key)) {
-                if let TaskState::Placed(run) = task.state
-                    && let Some(run) = world.runs.rows.get(run)
-                {
-                    *placed_by_host.entry(run.host).or_default() += 1;
-                }
-            }
-        }
         Some(Self {
             spec,
             policy,
             reserved_resources: spec.reserved_resources(),
             max_per_host,
-            placed_by_host,
+            step: step.name,
+            runs: &world.runs,
         })
     }
 
@@ -78,7 +71,7 @@
     }
 
     /// Returns how many more tasks fit on a host, within the maximum per host.
-    pub fn tasks_that_fit(&self, key: HostKey, host: &Host) -> u32 {
+    pub fn tasks_that_fit(&self, host: &Host) -> u32 {
         let free = host.free_resources();
         let dimensions = [
             (free.cpu_milli, self.reserved_resources.cpu_milli),
@@ -91,13 +84,12 @@
             .map(|(free, needed)| (free / needed).min(u64::from(u32::MAX)) as u32)
             .min()
             .unwrap_or(u32::MAX);
-        by_resources.min(self.remaining_on_host(key))
+        by_resources.min(self.remaining_on_host(host))
     }
 
     /// Returns how many more tasks the maximum per host allows; `u32::MAX` without one.
-    pub fn remaining_on_host(&self, key: HostKey) -> u32 {
-        self.max_per_host.map_or(u32::MAX, |maximum| {
-            maximum.saturating_sub(self.placed_by_host.get(&key).copied().unwrap_or_default())
-        })
+    pub fn remaining_on_host(&self, host: &Host) -> u32 {
+        self.max_per_host
+            .map_or(u32::MAX, |maximum| maximum.saturating_sub(host.count_tasks_of(self.step, self.runs)))
     }
 }
--- a/crates/cassiahoist_runs/src/adopt.rs
+++ b/crates/cassiahoist_runs/src/adopt.rs
@@ -57,7 +57,7 @@
         .collect();
     for step in partial_steps {
         let Some(step) = world.jobs.steps.get(step) else { continue };
-        let runs: Vec<RunKey> = world.jobs.placed_runs(step).collect();
+        let runs: Vec<RunKey> = world.jobs.step_runs(step).collect();
         for run in runs {
             stop_run(world, run, StopReason::GangBroken, now_ms);
         }
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -11,6 +11,7 @@
 
 use crate::adopt::adopt_run;
 use crate::lease_expiry::reset_restarted_host;
+use crate::lifecycle::reattach_run;
 use crate::outcome::{end_run, finish_task, record_failed_run};
 use crate::pace::adjust_filler_pace;
 
@@ -71,6 +72,7 @@
         .and_then(|job| job.record.spec.steps.get(usize::from(step_name.index)))
         .map(StepSpec::reserved_resources);
     orphans.count += 1;
+    orphans.steps.push(step_name);
     match resources {
         Some(resources) => orphans.resources = orphans.resources.saturating_add(&resources),
         None => orphans.has_unknown_size = true,
@@ -142,6 +144,7 @@
     {
         task.checkpoint = std::sync::Arc::clone(&report.checkpoint);
     }
+    reattach_run(world, key);
     Some(key)
 }
 
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -10,6 +10,7 @@
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
 
+use crate::lifecycle::detach_run;
 use crate::outcome::end_run;
 
 /// How long a host's row is kept after its store entry disappeared, in milliseconds.
@@ -27,7 +28,7 @@
             if !lease_expired {
                 let lease_end_ms = host.lease_end_ms;
                 world.wake_by(lease_end_ms);
-                expire_copies_early(world, key, now_ms);
+                requeue_copies(world, key, now_ms);
             } else if !host.runs.is_empty() || host.in_roster {
                 let unresponsive_ms = now_ms - unresponsive_since_ms;
                 expire_host_lease(world, key, unresponsive_ms, now_ms);
@@ -44,20 +45,16 @@
 }
 
 /// Requeues tasks whose copies may run in parallel, before an unresponsive host's lease expires.
-fn expire_copies_early(world: &mut World, key: HostKey, now_ms: u64) {
+fn requeue_copies(world: &mut World, key: HostKey, now_ms: u64) {
     let Some(host) = world.hosts.get(key) else { return };
     let allows_copies = |run: &&RunKey| {
         let context = world.runs.rows.get(**run).and_then(|run| world.jobs.task_context(run.task));
         context.is_some_and(|(_, _, spec)| spec.allows_copies && !spec.gang)
     };
     let runs: Vec<RunKey> = host.runs.iter().filter(allows_copies).copied().collect();
-    if let Some(host) = world.hosts.get_mut(key)
-        && !runs.is_empty()
-    {
-        // The runs still occupy the host, so it gets no work until it has listed them.
-        host.adoption = Adoption::Unknown;
+    for run in runs {
+        detach_run(world, run, now_ms);
     }
-    expire_runs(world, runs, now_ms);
 }
 
 /// Removes a departing host without runs from the roster.
@@ -98,6 +95,7 @@
     host.last_end_recorded = 0;
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
+    host.lists_clock_ms = 0;
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
     let was_listed = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed_by_host);
     let runs: Vec<RunKey> = host.runs.iter().filter(was_listed).copied().collect();
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -45,14 +45,10 @@
     }
     if let Some(task) = world.jobs.tasks.get_mut(task_key) {
         task.last_run_number = task.last_run_number.max(run_number);
-        task.state = TaskState::Placed(key);
     }
+    mark_placed(world, task_key, key);
     if let Some(step) = world.jobs.steps.get_mut(step_key) {
-        step.pending_tasks.retain(|pending| *pending != task_key);
         step.last_gang_run = step.last_gang_run.max(run_number);
-        if step.pending_tasks.is_empty() {
-            world.jobs.ready.remove(&step_key);
-        }
         let job = step.job;
         if let Some(job) = world.jobs.get_mut(job)
             && job.state == JobState::Queued
@@ -70,9 +66,60 @@
         host.reserved = host.reserved.saturating_sub(&run.reserved);
         host.runs.remove(&key);
     }
+    if let Some(task) = world.jobs.tasks.get_mut(run.task) {
+        task.detached_runs.retain(|detached| *detached != key);
+    }
     Some(run)
 }
 
+/// Makes a task pending again if `run` is the one that it waits for.
+///
+/// A run that was detached from its task, or whose task is done, changes nothing.
+pub(crate) fn requeue_placed_task(world: &mut World, run: RunKey, task: TaskKey, not_before_ms: u64) {
+    let is_placed = world.jobs.tasks.get(task).is_some_and(|task| task.state == TaskState::Placed(run));
+    if is_placed {
+        requeue_task(world, task, not_before_ms);
+    }
+}
+
+/// Makes the task of a run pending while the run may still exist.
+///
+/// Only for steps that allow copies. The run keeps its row, so that its resources stay reserved and its place counts
+/// against the step's maximum per host.
+pub(crate) fn detach_run(world: &mut World, key: RunKey, now_ms: u64) {
+    let Some(run) = world.runs.rows.get(key) else { return };
+    let task_key = run.task;
+    let Some(task) = world.jobs.tasks.get_mut(task_key).filter(|task| task.state == TaskState::Placed(key))
+    else {
+        return;
+    };
+    task.detached_runs.push(key);
+    requeue_task(world, task_key, now_ms);
+}
+
+/// Gives a detached run back to its task, if no other run was placed meanwhile.
+pub(crate) fn reattach_run(world: &mut World, key: RunKey) {
+    let Some(run) = world.runs.rows.get(key).filter(|run| run.stop_reason.is_none()) else { return };
+    let task_key = run.task;
+    let Some(task) = world.jobs.tasks.get_mut(task_key) else { return };
+    if task.state == TaskState::Pending && task.detached_runs.contains(&key) {
+        task.detached_runs.retain(|detached| *detached != key);
+        mark_placed(world, task_key, key);
+    }
+}
+
+/// Marks a task as placed on a run and removes it from the step's pending tasks.
+fn mark_placed(world: &mut World, task_key: TaskKey, run: RunKey) {
+    let Some(task) = world.jobs.tasks.get_mut(task_key) else { return };
+    task.state = TaskState::Placed(run);
+    let step_key = task.step;
+    let Some(step) = world.jobs.steps.get_mut(step_key) else { return };
+    step.pending_tasks.retain(|pending| *pending != task_key);
+    if step.pending_tasks.is_empty() {
+        world.jobs.ready.remove(&step_key);
+    }
+}
+
 /// Makes a task pending again, to be placed no earlier than `not_before_ms`.
 ///
 /// Does nothing if the task is done.
@@ -119,7 +166,7 @@
 pub fn stop_job_runs(world: &mut World, job: JobKey, now_ms: u64) {
     let Some(row) = world.jobs.get(job) else { return };
     let steps = row.steps.iter().filter_map(|step| world.jobs.steps.get(*step));
-    let runs: Vec<RunKey> = steps.flat_map(|step| world.jobs.placed_runs(step)).collect();
+    let runs: Vec<RunKey> = steps.flat_map(|step| world.jobs.step_runs(step)).collect();
     for run in runs {
         stop_run(world, run, StopReason::JobOver, now_ms);
     }
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -3,15 +3,15 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::{StepDownCause, step_down};
 use cassiahoist_world::hosts::HostKey;
-use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome, RefusalReason, RunEnding};
+use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome, RefusalReason};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::{RunKey, RunState, StopReason};
 
 use crate::health::record_failure;
 use crate::host_lists::apply_host_lists;
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
-use crate::lifecycle::{drop_run, requeue_task, stop_run};
-use crate::outcome::{break_gang, end_run};
+use crate::lifecycle::{drop_run, requeue_placed_task, stop_run};
+use crate::outcome::break_gang;
 use crate::poll::schedule_poll;
 
 /// Timeout of a poll outside the regular schedule, in milliseconds.
@@ -57,7 +57,9 @@
         Order::Stop { run: None, .. } | Order::SetPace { .. } => {}
         Order::Poll { .. } => {
             let host = completion.order.host;
-            if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome {
+            if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
+                && is_latest_list(world, host, completion.host_clock_ms)
+            {
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
             if let Some(host) = world.hosts.get_mut(host) {
@@ -67,6 +69,17 @@
     }
 }
 
+/// Returns whether no later lists of the host were applied, and remembers the time of these.
+///
+/// Answers on different connections overtake each other, and older lists miss runs that started since.
+fn is_latest_list(world: &mut World, host: HostKey, host_clock_ms: Option<u64>) -> bool {
+    let Some(host) = world.hosts.get_mut(host) else { return false };
+    let Some(clock_ms) = host_clock_ms else { return true };
+    let is_latest = clock_ms >= host.lists_clock_ms;
+    host.lists_clock_ms = host.lists_clock_ms.max(clock_ms);
+    is_latest
+}
+
 /// Detects a restart of the host, seen as its clock going back.
 fn detect_host_restart(world: &mut World, completion: &OrderCompletion, now_ms: u64) {
     let Some(host_clock_ms) = completion.host_clock_ms else { return };
@@ -163,28 +176,22 @@
     let host = world.hosts.get(run.host).map(|host| host.entry.name.to_string()).unwrap_or_default();
     let log_record = LogRecord::new(EventId::StartRefused).with("task", run.name).with("run", run.run_number);
     world.log(log_record.with("host", host).with("reason", format!("{reason:?}")));
-    if run.stop_reason.is_none() {
-        requeue_task(world, run.task, now_ms + REFUSED_RETRY_MS);
-    } else {
-        requeue_task(world, run.task, now_ms);
-    }
+    let delay_ms = if run.stop_reason.is_none() { REFUSED_RETRY_MS } else { 0 };
+    requeue_placed_task(world, key, run.task, now_ms + delay_ms);
 }
 
 fn apply_stop_answer(world: &mut World, key: RunKey, outcome: &OrderOutcome, now_ms: u64) {
     let Some(run) = world.runs.rows.get_mut(key) else { return };
     run.order_in_flight = false;
     match outcome {
-        OrderOutcome::Done { .. } => {
-            // The next poll shows whether the run ever started.
+        // A run that was stopped before is refused as old, and may still be stopping.
+        OrderOutcome::Done { .. } | OrderOutcome::Refused(RefusalReason::Old) => {
+            // The next poll shows whether the run still exists.
             run.state = RunState::Settled;
             run.confirmed_at_ms = now_ms;
             let host = run.host;
             poll_immediately(world, host, now_ms);
         }
-        OrderOutcome::Refused(RefusalReason::Old) => {
-            // On the host this run or a later one of the task has already ended.
-            end_run(world, key, RunEnding::Stopped, &std::sync::Arc::from(""), now_ms);
-        }
         OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Unknown => {
             run.next_stop_at_ms = now_ms + STOP_RETRY_MS;
         }
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -11,7 +11,7 @@
 use cassiahoist_world::runs::{RunKey, StopReason};
 
 use crate::health::{record_failure, record_success};
-use crate::lifecycle::{drop_run, requeue_task, stop_job_runs, stop_run};
+use crate::lifecycle::{drop_run, requeue_placed_task, requeue_task, stop_job_runs, stop_run};
 
 /// Delay before a failed task runs again, in milliseconds. The host's quarantine is decided first.
 const RETRY_DELAY_MS: u64 = 20;
@@ -19,8 +19,6 @@
 /// Removes a run that ended and updates its task, host and gang.
 pub(crate) fn end_run(world: &mut World, key: RunKey, ending: RunEnding, checkpoint: &Arc<str>, now_ms: u64) {
     let Some(run) = drop_run(world, key) else { return };
-    let is_placed_run =
-        world.jobs.tasks.get(run.task).is_some_and(|task| task.state == TaskState::Placed(key));
     let host = world.hosts.get(run.host).map(|host| host.entry.name.to_string()).unwrap_or_default();
     let event = if ending == RunEnding::Failed { EventId::RunFailed } else { EventId::RunEnded };
     let log_record =
@@ -42,14 +40,10 @@
             world.counters.runs_failed += 1;
             record_failure(world, run.host, run.task, now_ms);
             record_failed_run(world, run.task, run.host, run.run_number, now_ms);
-            if is_placed_run {
-                requeue_task(world, run.task, now_ms + RETRY_DELAY_MS);
-            }
+            requeue_placed_task(world, key, run.task, now_ms + RETRY_DELAY_MS);
         }
         RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken | RunEnding::Alone => {
-            if is_placed_run {
-                requeue_task(world, run.task, now_ms);
-            }
+            requeue_placed_task(world, key, run.task, now_ms);
         }
     }
     if ending != RunEnding::Done {
@@ -79,6 +73,7 @@
             continue;
         }
         task.state = TaskState::Done;
+        let copies = task.detached_runs.clone();
         if let Some(step) = world.jobs.steps.get_mut(step_key) {
             step.done_count += 1;
             step.pending_tasks.retain(|pending| *pending != member);
@@ -87,6 +82,9 @@
         if let (TaskState::Placed(run), true) = (previous_state, member == task_key) {
             stop_run(world, run, StopReason::JobOver, now_ms);
         }
+        for copy in copies {
+            stop_run(world, copy, StopReason::JobOver, now_ms);
+        }
     }
     world.jobs.unrecorded_jobs.insert(job_key);
     finish_step(world, step_key, now_ms);
@@ -221,7 +219,7 @@
     }
     let members: Vec<RunKey> = world
         .jobs
-        .placed_runs(step)
+        .step_runs(step)
         .filter(|run| world.runs.rows.get(*run).is_some_and(|run| run.run_number == run_number))
         .collect();
     for run in members {
--- a/crates/cassiahoist_standins/tests/invariants.rs
+++ b/crates/cassiahoist_standins/tests/invariants.rs
@@ -36,6 +36,7 @@
         required_label: None,
         max_per_host: None,
         disruption_budget: None,
+        allows_copies: false,
     }
 }
 
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -193,3 +193,64 @@
     holder.tick(6_010);
     assert!(holder.starts().is_empty(), "a host that hasn't been polled may still run it");
 }
+
+/// Starts of a step that allows copies are not answered, so their tasks run elsewhere at once.
+///
+/// The host answers a poll before the delayed orders reach it. Their room stays reserved, and no other task of the step
+/// takes their place.
+#[test]
+fn unanswered_starts_keep_their_room_while_copies_run_elsewhere() {
+    let mut holder = TestDaemon::with_hosts(2);
+    let copied = StepSpec { allows_copies: true, max_per_host: Some(4), ..step(4) };
+    holder.add_job(1, vec![copied]);
+    holder.tick(10);
+    let starts: Vec<_> = holder.orders().cloned().collect();
+    let starts: Vec<_> =
+        starts.into_iter().filter(|order| matches!(order.order, Order::Start { .. })).collect();
+    assert_eq!(starts.len(), 4);
+    let host = u64::from(starts[0].host_name != host_entry(0).name);
+    for start in &starts {
+        holder.answer(start.clone(), OrderOutcome::Unknown, None);
+    }
+    holder.tick(30);
+    let elsewhere = host_entry(1 - host).name.to_string();
+    let copies = holder.app.world().counters.starts - 4;
+    assert_eq!(copies, 4, "each task runs on {elsewhere}");
+    holder.report_lists(host, running_lists(Vec::new()));
+    assert_eq!(holder.app.world().hosts.get(holder.host(host)).unwrap().free_resources().cpu_milli, 4_000);
+    holder.add_job(2, vec![step(8)]);
+    holder.tick(30);
+    assert_eq!(holder.starts().len(), 8, "four more tasks fit on each host");
+}
+
+/// The only host that answers runs a copy of the task, and the task's first run is listed again.
+#[test]
+fn detached_run_returns_to_its_task_if_no_copy_was_placed() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_job(1, vec![StepSpec { allows_copies: true, ..step(1) }]);
+    holder.tick(10);
+    let poll = holder.orders().find(|order| matches!(order.order, Order::Poll { .. })).cloned().unwrap();
+    holder.confirm_starts();
+    holder.tick(2_000);
+    let name = task_name(1, 0, 0);
+    holder.answer(poll, OrderOutcome::Unknown, None);
+    let task = holder.task(&name);
+    assert_eq!(holder.app.world().jobs.tasks[task].detached_runs.len(), 1);
+    holder.report_lists(0, running_lists(vec![running(&name, 1)]));
+    assert!(holder.app.world().jobs.tasks[task].detached_runs.is_empty());
+    holder.tick(30);
+    assert_eq!(holder.app.world().counters.starts, 1);
+}
+
+/// The lists of an earlier moment arrive last, since they came on another connection.
+#[test]
+fn overtaken_lists_do_not_end_the_listing_of_an_orphan() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_job(1, vec![StepSpec { max_per_host: Some(1), ..step(2) }]);
+    holder.report_lists(0, running_lists(vec![running(&task_name(9, 0, 0), 1)]));
+    let host = holder.host(0);
+    assert_eq!(holder.app.world().hosts.get(host).unwrap().orphans.count, 1);
+    let earlier_clock_ms = holder.now_ms - 100;
+    holder.report_lists_at(0, running_lists(Vec::new()), earlier_clock_ms);
+    assert_eq!(holder.app.world().hosts.get(host).unwrap().orphans.count, 1);
+}
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -11,6 +11,7 @@
 pub use crate::keys::HostKey;
 use crate::keys::{JobKey, RunKey};
 use crate::rows::{IndexedRows, Row};
+use crate::runs::RunTable;
 use crate::spec::StepSpec;
 
 /// Store entry in which a host describes itself.
@@ -72,12 +73,14 @@
 }
 
 /// Runs that the last poll listed and that have no row. They are being stopped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OrphanRuns {
     /// Number of such runs.
     pub count: u32,
     /// Resources of those whose jobs are known.
     pub resources: Resources,
+    /// Step of each of them.
+    pub steps: Vec<StepName>,
     /// Whether the job of one of them is unknown. Then the free resources of the host are unknown too.
     pub has_unknown_size: bool,
 }
@@ -118,6 +121,8 @@
     pub last_end_applied: u64,
     /// Greatest end number that is durable in the store. The host may drop ends up to it.
     pub last_end_recorded: u64,
+    /// The host's own clock at the latest lists that were applied, in milliseconds; 0 before the first.
+    pub lists_clock_ms: u64,
     /// Resources reserved for the runs on the host.
     pub reserved: Resources,
     /// Runs on the host that have no row.
@@ -153,6 +158,7 @@
             in_roster: false,
             last_end_applied: 0,
             last_end_recorded: 0,
+            lists_clock_ms: 0,
             reserved: Resources::default(),
             orphans: OrphanRuns::default(),
             runs: FxHashSet::default(),
@@ -187,6 +193,16 @@
             .saturating_sub(&self.orphans.resources)
     }
 
+    /// Counts the tasks of a step that may occupy the host.
+    ///
+    /// These are the runs with a row, whatever their state, and orphans. A run counts until the host lists its end or
+    /// its lease expires.
+    #[must_use]
+    pub fn count_tasks_of(&self, step: StepName, runs: &RunTable) -> u32 {
+        let with_row = self.runs.iter().filter_map(|run| runs.rows.get(*run)).map(|run| run.name.step);
+        with_row.chain(self.orphans.steps.iter().copied()).filter(|other| *other == step).count() as u32
+    }
+
     /// Returns whether new runs may start on the host, regardless of free resources.
     #[must_use]
     pub fn accepts_new_runs(&self, now_ms: u64) -> bool {
