Make the holder's ticks cost less and leave time to the traffic threads

Cause: with 1,100 hosts the holder spent its processor on ticks. Each message of a host began a tick that went over all hosts, all runs (three times) and, for each waiting step, all hosts again, even with nothing to do for it. Change: the control thread pauses for three times what a tick took (15 ms at most), so that a tick serves many messages; stop orders come from a set of stopping runs; stalls are looked for every 100 ms; a step's candidates are found once for all its tasks, and only among approved hosts where advice is needed; a step that needs no call for advice is looked at again after 40 ms; calls in flight are counted once a round; advice of finished steps is dropped; the pause of polls with unrecorded ends is 250 ms, since the record ends it. Counters of ticks and their time.

--- a/crates/cassiahoist_daemon/src/control.rs
+++ b/crates/cassiahoist_daemon/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: receives events, runs ticks and dispatches their effects.
 
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cassiahoist_traffic::clock::MonotonicClock;
 use cassiahoist_traffic::control_link::ControlInput;
@@ -18,6 +18,18 @@
 /// Most messages received between two ticks, after the one that ends the sleep.
 const MAX_INPUTS_PER_TICK: usize = 4_096;
 
+/// Least pause after a tick, as a multiple of the time that the tick took.
+///
+/// Each tick goes over whole tables, so under load it has to serve many messages. The rest of the time is left to the
+/// traffic threads.
+const PAUSE_FACTOR: u32 = 3;
+
+/// Longest pause between two ticks while messages wait.
+const MAX_PAUSE: Duration = Duration::from_millis(15);
+
+/// Shortest pause that is worth a sleep.
+const MIN_PAUSE: Duration = Duration::from_micros(500);
+
 /// What the control thread does next.
 enum NextAction {
     /// Runs a tick, whether or not inputs arrived.
@@ -35,19 +47,33 @@
     table_metrics: &TableMetrics,
 ) {
     loop {
+        let tick_started = Instant::now();
         app.tick(clock.now_ms(), MonotonicClock::unix_ms());
         for effect in app.take_effects() {
             if dispatcher.dispatch(effect) == LoopControl::Exit {
                 return;
             }
         }
+        let took = tick_started.elapsed();
+        let counters = &mut app.world_mut().counters;
+        counters.ticks += 1;
+        counters.tick_us += took.as_micros() as u64;
         table_metrics.publish(app.world());
+        pause_after_tick(took);
         if let NextAction::End = receive_inputs(&mut app, inputs, clock) {
             return;
         }
     }
 }
 
+/// Sleeps for a multiple of the time that the last tick took.
+fn pause_after_tick(took: Duration) {
+    let pause = (took * PAUSE_FACTOR).min(MAX_PAUSE);
+    if pause >= MIN_PAUSE {
+        std::thread::sleep(pause);
+    }
+}
+
 /// Sleeps until a message arrives or a timer is due. Then queues the waiting messages for the next tick.
 fn receive_inputs(app: &mut App, inputs: &Receiver<ControlInput>, clock: MonotonicClock) -> NextAction {
     let sleep = clock.duration_until(app.wake_at_ms()).min(MAX_SLEEP);
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -20,7 +20,7 @@
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 13] = [
+const COUNTERS: [(&str, &str, ReadValue); 15] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
@@ -33,6 +33,8 @@
     ("cassiahoist_polls", "Polls sent to hosts", |w| w.counters.polls),
     ("cassiahoist_store_calls", "Calls to the store", |w| w.counters.store_calls),
     ("cassiahoist_advice_calls", "Calls to the advice service", |w| w.counters.advice_calls),
+    ("cassiahoist_ticks", "Ticks of the control thread", |w| w.counters.ticks),
+    ("cassiahoist_tick_us", "Time that ticks took, in microseconds", |w| w.counters.tick_us),
     ("cassiahoist_claims", "Times that this daemon won the claim on the slice", |w| w.counters.claims),
 ];
 
--- a/crates/cassiahoist_membership/src/step_down.rs
+++ b/crates/cassiahoist_membership/src/step_down.rs
@@ -46,7 +46,7 @@
 /// Clears the tables that only a holder keeps.
 pub fn clear_slice_tables(world: &mut World) {
     world.jobs.clear();
-    world.runs.rows.clear();
+    world.runs.clear();
     world.hosts.clear();
     world.advice.open_calls.clear();
     world.store_writes = cassiahoist_world::store_writes::StoreWriteTable::default();
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -11,6 +11,7 @@
 use cassiahoist_world::jobs::{Step, StepKey};
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
+use rustc_hash::FxHashMap;
 
 use crate::order::ready_steps_by_rank;
 use crate::place::valid_ticket;
@@ -57,6 +58,12 @@
 /// Delay before the next call after a failed or empty answer, in milliseconds.
 const ADVICE_RETRY_MS: u64 = 60;
 
+/// Delay before a step that needs no call now is looked at again, in milliseconds.
+const RECHECK_DELAY_MS: u64 = 40;
+
+/// Minimum time between rounds of requests, in milliseconds.
+const MIN_ROUND_INTERVAL_MS: u64 = 4;
+
 /// Forwards the holder's calls for advice to the service.
 ///
 /// The answers are sent back to the holder.
@@ -151,25 +158,44 @@
     }
 }
 
-/// Returns whether a daemon may get another call.
-///
-/// It may if it has fewer than [`MAX_CALLS_PER_MEMBER`] in flight and none is overdue.
-fn accepts_call(world: &World, member: &MemberName, now_ms: u64) -> bool {
-    let mut calls = 0;
-    for open in world.advice.open_calls.values().filter(|open| open.member == *member) {
-        calls += 1;
-        if now_ms > open.expected_at_ms + MAX_OVERDUE_MS {
-            return false;
+/// Calls in flight by daemon, as a round of requests begins.
+#[derive(Debug, Default)]
+struct CallsInFlight {
+    /// Number of calls of each daemon; [`MAX_CALLS_PER_MEMBER`] if one is overdue.
+    by_member: FxHashMap<MemberName, usize>,
+}
+
+impl CallsInFlight {
+    fn count(world: &World, now_ms: u64) -> Self {
+        let mut by_member: FxHashMap<MemberName, usize> = FxHashMap::default();
+        for open in world.advice.open_calls.values() {
+            let is_overdue = now_ms > open.expected_at_ms + MAX_OVERDUE_MS;
+            let weight = if is_overdue { MAX_CALLS_PER_MEMBER } else { 1 };
+            *by_member.entry(open.member.clone()).or_default() += weight;
         }
+        Self { by_member }
+    }
+
+    /// Returns whether a daemon may get another call.
+    fn accepts_call(&self, member: &MemberName) -> bool {
+        self.by_member.get(member).is_none_or(|calls| *calls < MAX_CALLS_PER_MEMBER)
+    }
+
+    fn add(&mut self, member: &MemberName) {
+        *self.by_member.entry(member.clone()).or_default() += 1;
     }
-    calls < MAX_CALLS_PER_MEMBER
 }
 
 /// Requests advice for ready steps that lack hosts, the most urgent first.
 pub fn request_advice(world: &mut World, now_ms: u64) {
-    if !world.holding.is_holding() || world.local.is_stopping() {
+    if !world.holding.is_holding() || world.local.is_stopping() || world.jobs.ready.is_empty() {
         return;
     }
+    if now_ms < world.advice.next_request_at_ms {
+        return world.wake_by(world.advice.next_request_at_ms);
+    }
+    world.advice.next_request_at_ms = now_ms + MIN_ROUND_INTERVAL_MS;
+    let mut in_flight = CallsInFlight::count(world, now_ms);
     for key in ready_steps_by_rank(world) {
         let Some(step) = world.jobs.steps.get(key) else { continue };
         let Some(cost) = world.jobs.get(step.job).and_then(|job| job.record.policy.advice) else { continue };
@@ -181,10 +207,16 @@
             world.wake_by(next_call_at_ms);
             continue;
         }
-        let Some(member) = next_free_member(world, now_ms) else { return };
+        let Some(member) = next_free_member(world, &in_flight, now_ms) else { return };
         let hosts =
             world.jobs.steps.get(key).map(|step| select_hosts(world, step, now_ms)).unwrap_or_default();
-        if !hosts.is_empty() {
+        if hosts.is_empty() {
+            if let Some(step) = world.jobs.steps.get_mut(key) {
+                step.advice.next_call_at_ms = now_ms + RECHECK_DELAY_MS;
+            }
+            world.wake_by(now_ms + RECHECK_DELAY_MS);
+        } else {
+            in_flight.add(&member);
             send_call(world, key, cost, hosts, member, now_ms);
         }
     }
@@ -194,12 +226,12 @@
 ///
 /// `None` if every daemon is overdue or has [`MAX_CALLS_PER_MEMBER`] calls in flight. Also `None` if the chosen one is
 /// busy; a tick is then scheduled for the time at which it may get the call.
-fn next_free_member(world: &mut World, now_ms: u64) -> Option<MemberName> {
+fn next_free_member(world: &mut World, in_flight: &CallsInFlight, now_ms: u64) -> Option<MemberName> {
     let member = world
         .members
         .iter()
         .map(|member| &member.incarnation.member)
-        .filter(|name| accepts_call(world, name, now_ms))
+        .filter(|name| in_flight.accepts_call(name))
         .min_by_key(|name| world.advice.busy_until_ms.get(*name).copied().unwrap_or_default())?
         .clone();
     let busy_until_ms = world.advice.busy_until_ms.get(&member).copied().unwrap_or_default();
--- a/crates/cassiahoist_placement/src/choose.rs
+++ b/crates/cassiahoist_placement/src/choose.rs
@@ -23,13 +23,14 @@
     pub failures: u32,
 }
 
-/// Chooses the candidate with the lowest penalty; `None` if there is no candidate.
+/// Chooses the candidate with the lowest penalty and returns what it is paired with.
 ///
-/// In order of weight, it avoids hosts on which the task failed, interference between serving tasks and fillers, other
-/// racks than that of the data, and hosts with failures. Among equals, `packing` decides.
+/// `None` if there is no candidate. In order of weight, it avoids hosts on which the task failed, interference between
+/// serving tasks and fillers, other racks than that of the data, and hosts with failures. Among equals, `packing`
+/// decides.
 #[must_use]
-pub fn choose_host(candidates: impl Iterator<Item = Candidate>, packing: Packing) -> Option<HostKey> {
-    candidates.min_by_key(|candidate| penalty(candidate, packing)).map(|candidate| candidate.host)
+pub fn choose_candidate<T>(candidates: impl Iterator<Item = (T, Candidate)>, packing: Packing) -> Option<T> {
+    candidates.min_by_key(|(_, candidate)| penalty(candidate, packing)).map(|(paired, _)| paired)
 }
 
 /// Returns the sort key of a candidate; the lowest wins.
--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -7,7 +7,7 @@
 mod place;
 mod requirements;
 
-pub use choose::{Candidate, choose_host};
+pub use choose::{Candidate, choose_candidate};
 
 use cassiahoist_world::prelude::*;
 
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -11,7 +11,7 @@
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunState;
 
-use crate::choose::{Candidate, choose_host};
+use crate::choose::{Candidate, choose_candidate};
 use crate::gang::place_gang;
 use crate::order::ready_steps_by_rank;
 use crate::requirements::{StepPolicy, StepRequirements};
@@ -65,24 +65,83 @@
     if world.jobs.step_spec(step).is_some_and(|spec| spec.gang) {
         return place_gang(world, key, &policy, now_ms);
     }
-    for task_key in step.pending_tasks.clone() {
-        let Some(step) = world.jobs.steps.get(key) else { return };
+    let Some(requirements) = StepRequirements::new(world, step, &policy) else { return };
+    let room = PlacementRoom::find(world, step, &requirements, now_ms);
+    let packing = requirements.packing();
+    let remaining_tasks = remaining_queue_tasks(world, step, &requirements);
+    place_pending_tasks(world, key, room, packing, remaining_tasks, now_ms);
+}
+
+/// Starts the pending tasks of a step, as many as its room and its queue allow.
+fn place_pending_tasks(
+    world: &mut World,
+    key: StepKey,
+    mut room: PlacementRoom,
+    packing: Packing,
+    mut remaining_tasks: u32,
+    now_ms: u64,
+) {
+    let Some(pending_tasks) = world.jobs.steps.get(key).map(|step| step.pending_tasks.clone()) else {
+        return;
+    };
+    for task_key in pending_tasks {
+        if room.candidates.is_empty() || remaining_tasks == 0 {
+            return;
+        }
         let Some(task) = world.jobs.tasks.get(task_key) else { continue };
         if now_ms < task.not_before_ms {
             let not_before_ms = task.not_before_ms;
             world.wake_by(not_before_ms);
             continue;
         }
-        let Some(requirements) = StepRequirements::new(world, step, &policy) else { return };
-        if remaining_queue_tasks(world, step, &requirements) == 0 {
-            return;
-        }
-        let Some(host) = find_host(world, step, &requirements, task, now_ms) else {
-            // Tasks of a step have the same requirements, so the next one finds no host either.
-            return;
-        };
+        let Some(position) = room.choose(world, task, packing) else { continue };
         let run_number = task.last_run_number + 1;
+        let host = room.take(position);
         start_task(world, task_key, host, run_number, now_ms);
+        remaining_tasks -= 1;
+    }
+}
+
+/// Hosts on which a step may start tasks in this round, with their free places.
+#[derive(Debug)]
+struct PlacementRoom {
+    /// Candidates, each with the number of tasks that still fit.
+    candidates: Vec<(Candidate, u32)>,
+    /// Resources that one task reserves.
+    task_size: Resources,
+}
+
+impl PlacementRoom {
+    fn find(world: &World, step: &Step, requirements: &StepRequirements<'_>, now_ms: u64) -> Self {
+        let candidates = startable_hosts(world, step, requirements, now_ms)
+            .map(|(key, host)| (key, host, requirements.tasks_that_fit(host)))
+            .filter(|(_, _, fitting_tasks)| *fitting_tasks > 0)
+            .map(|(key, host, fitting_tasks)| {
+                (build_candidate(world, requirements, key, host), fitting_tasks)
+            });
+        Self { candidates: candidates.collect(), task_size: requirements.reserved_resources }
+    }
+
+    /// Returns the position of the best candidate for a task.
+    fn choose(&self, world: &World, task: &Task, packing: Packing) -> Option<usize> {
+        let for_task = |(position, (candidate, _)): (usize, &(Candidate, u32))| {
+            let failed_before = task.failed_hosts.contains(&candidate.host);
+            (!has_copy_on(world, task, candidate.host))
+                .then_some((position, Candidate { failed_before, ..*candidate }))
+        };
+        choose_candidate(self.candidates.iter().enumerate().filter_map(for_task), packing)
+    }
+
+    /// Takes one place of a candidate and returns its host.
+    fn take(&mut self, position: usize) -> HostKey {
+        let (candidate, fitting_tasks) = &mut self.candidates[position];
+        candidate.remaining = candidate.remaining.saturating_sub(&self.task_size);
+        *fitting_tasks -= 1;
+        let (host, is_full) = (candidate.host, *fitting_tasks == 0);
+        if is_full {
+            self.candidates.swap_remove(position);
+        }
+        host
     }
 }
 
@@ -96,26 +155,6 @@
     maximum.saturating_sub(running_count as u32)
 }
 
-/// Chooses a host that may start the task and has the free resources.
-fn find_host(
-    world: &World,
-    step: &Step,
-    requirements: &StepRequirements<'_>,
-    task: &Task,
-    now_ms: u64,
-) -> Option<HostKey> {
-    let packing = requirements.policy.rules.packing.unwrap_or(if requirements.spec.runs_until_cancelled {
-        Packing::Spread
-    } else {
-        Packing::Pack
-    });
-    let candidates = startable_hosts(world, step, requirements, now_ms)
-        .filter(|(_, host)| requirements.tasks_that_fit(host) > 0)
-        .filter(|(key, _)| !has_copy_on(world, task, *key))
-        .map(|(key, host)| build_candidate(world, requirements, key, host, task));
-    choose_host(candidates, packing)
-}
-
 /// Iterates over the hosts on which the step may start tasks now.
 ///
 /// Free resources are not considered. A host has to be in the roster and to accept work; for a queue with advice it
@@ -127,7 +166,12 @@
     now_ms: u64,
 ) -> impl Iterator<Item = (HostKey, &'w Host)> {
     let needs_ticket = world.jobs.get(step.job).is_some_and(|job| job.record.policy.advice.is_some());
-    world.hosts.iter_engaged().filter(move |(key, host)| {
+    // Approved hosts are few, so the others need not be visited.
+    let approved_hosts = needs_ticket.then(|| step.advice.approved_hosts.keys().copied());
+    let approved_hosts =
+        approved_hosts.into_iter().flatten().filter_map(|key| Some((key, world.hosts.get(key)?)));
+    let all_hosts = (!needs_ticket).then(|| world.hosts.iter_engaged());
+    all_hosts.into_iter().flatten().chain(approved_hosts).filter(move |(key, host)| {
         host.in_roster
             && host.accepts_new_runs(now_ms)
             && requirements.is_eligible(host)
@@ -162,14 +206,13 @@
     requirements: &StepRequirements<'_>,
     key: HostKey,
     host: &Host,
-    task: &Task,
 ) -> Candidate {
     let off_data_rack = requirements.spec.data_rack.as_ref().is_some_and(|rack| !host.has_label(rack));
     Candidate {
         host: key,
         remaining: host.free_resources().saturating_sub(&requirements.reserved_resources),
         capacity: host.entry.capacity,
-        failed_before: task.failed_hosts.contains(&key),
+        failed_before: false,
         off_data_rack,
         would_interfere: would_interfere(world, requirements, host),
         failures: host.standing.failures,
--- a/crates/cassiahoist_placement/src/requirements.rs
+++ b/crates/cassiahoist_placement/src/requirements.rs
@@ -3,7 +3,7 @@
 //! They come from the submitted step and from the configuration and declarations in force.
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_declarations::QueueRules;
+use cassiahoist_declarations::{Packing, QueueRules};
 use cassiahoist_world::hosts::Host;
 use cassiahoist_world::jobs::Step;
 use cassiahoist_world::prelude::*;
@@ -65,6 +65,12 @@
         })
     }
 
+    /// Returns how tasks of the step are distributed: as declared, or by their kind.
+    pub fn packing(&self) -> Packing {
+        let by_kind = if self.spec.runs_until_cancelled { Packing::Spread } else { Packing::Pack };
+        self.policy.rules.packing.unwrap_or(by_kind)
+    }
+
     /// Returns whether a host is eligible, regardless of its free resources.
     pub fn is_eligible(&self, host: &Host) -> bool {
         host.is_eligible(&self.policy.pool, self.spec)
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -62,6 +62,7 @@
 /// Removes a run's row and releases its resources on the host.
 pub(crate) fn drop_run(world: &mut World, key: RunKey) -> Option<Run> {
     let run = world.runs.rows.remove(key)?;
+    world.runs.stopping.remove(&key);
     if let Some(host) = world.hosts.get_mut(run.host) {
         host.reserved = host.reserved.saturating_sub(&run.reserved);
         host.runs.remove(&key);
@@ -154,6 +155,7 @@
     run.state = if reason == StopReason::Unanswered { RunState::Unsettled } else { RunState::Stopping };
     run.next_stop_at_ms = now_ms;
     run.order_in_flight = false;
+    world.runs.stopping.insert(key);
     let (name, run_number, host) = (run.name, run.run_number, run.host);
     let event = if reason == StopReason::Unanswered { EventId::StartUnanswered } else { EventId::RunStopped };
     let host_name = world.hosts.get(host).map(|host| host.entry.name.to_string()).unwrap_or_default();
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::advice::StepAdvice;
 use cassiahoist_world::hosts::HostKey;
 use cassiahoist_world::jobs::{JobKey, StepKey, StepState, TaskKey, TaskState};
 use cassiahoist_world::orders::RunEnding;
@@ -97,6 +98,7 @@
     }
     if step.done_count as usize == step.tasks.len() && step.state != StepState::Done {
         step.state = StepState::Done;
+        step.advice = StepAdvice::default();
         let job = step.job;
         world.jobs.ready.remove(&step_key);
         world.jobs.blocked.remove(&step_key);
--- a/crates/cassiahoist_runs/src/pace.rs
+++ b/crates/cassiahoist_runs/src/pace.rs
@@ -24,6 +24,11 @@
 /// Increase of the pace in one step, in percentage points.
 const SPEED_STEP_PERCENT: u8 = 25;
 
+/// Longest time until a new filler gets the pace of its host, in milliseconds.
+///
+/// A change of a host's pace takes effect at once.
+const CHECK_INTERVAL_MS: u64 = 50;
+
 /// Timeout of a pace order, in milliseconds.
 const PACE_ORDER_TIMEOUT_MS: u64 = 800;
 
@@ -53,14 +58,16 @@
         let log_record =
             log_record.with("percent", host.filler_pace_percent).with("tail_percent", tail_percent);
         world.log(log_record);
+        world.runs.next_pace_check_at_ms = now_ms;
     }
 }
 
 /// Sends pace orders for fillers whose pace differs from that of their host.
 pub fn send_filler_pace(world: &mut World, now_ms: u64) {
-    if !world.holding.is_holding() {
+    if !world.holding.is_holding() || now_ms < world.runs.next_pace_check_at_ms {
         return;
     }
+    world.runs.next_pace_check_at_ms = now_ms + CHECK_INTERVAL_MS;
     let due: Vec<(RunKey, u8)> = world
         .runs
         .rows
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -20,8 +20,9 @@
 
 /// Pause between polls while ends are not recorded yet, in milliseconds.
 ///
-/// The host answers such polls at once, since it still lists these ends.
-const UNRECORDED_PAUSE_MS: u64 = 120;
+/// The host answers such polls at once, since it still lists these ends. The record of the ends usually comes sooner
+/// and ends the pause.
+const UNRECORDED_PAUSE_MS: u64 = 250;
 
 /// Pause between polls while runs without a row are being stopped, in milliseconds.
 const ORPHANS_PAUSE_MS: u64 = 150;
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -17,6 +17,9 @@
 /// Within them the timeout is the mean run time of the queue. It is the upper bound if that is unknown.
 const FIRST_PROGRESS_TIMEOUT_MS: std::ops::RangeInclusive<u64> = 1_000..=2_500;
 
+/// Interval between checks for stalled runs, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 100;
+
 /// Stall timeout, as a multiple of a run's mean time per percent of progress.
 const STALL_FACTOR: u64 = 8;
 
@@ -36,9 +39,10 @@
 
 /// Stops stalled runs, so that their tasks run on other hosts.
 pub fn stop_stalled_runs(world: &mut World, now_ms: u64) {
-    if !world.holding.is_holding() {
+    if !world.holding.is_holding() || now_ms < world.runs.next_stall_check_at_ms {
         return;
     }
+    world.runs.next_stall_check_at_ms = now_ms + CHECK_INTERVAL_MS;
     let stalled: Vec<RunKey> = world
         .runs
         .rows
--- a/crates/cassiahoist_runs/src/stop_orders.rs
+++ b/crates/cassiahoist_runs/src/stop_orders.rs
@@ -17,7 +17,8 @@
     }
     let mut earliest_wake_ms = u64::MAX;
     let mut due: Vec<RunKey> = Vec::new();
-    for (key, run) in &world.runs.rows {
+    for key in world.runs.stopping.iter().copied() {
+        let Some(run) = world.runs.rows.get(key) else { continue };
         let needs_stop = matches!(run.state, RunState::Unsettled | RunState::Stopping);
         if !needs_stop || run.order_in_flight {
             continue;
@@ -28,6 +29,8 @@
             due.push(key);
         }
     }
+    // The order of a set is not that of the requests.
+    due.sort_unstable();
     world.wake_by(earliest_wake_ms);
     for key in due {
         let Some(run) = world.runs.rows.get_mut(key) else { continue };
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -9,6 +9,7 @@
 mod faults;
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_daemon::{MAX_RUN_LEASE_MS, build_daemon_app};
@@ -103,6 +104,10 @@
     pub restart_at_ms: Option<u64>,
     /// Time until which it can't reach the store, in milliseconds.
     pub store_unreachable_until_ms: u64,
+    /// Number of ticks of all its incarnations.
+    pub tick_count: u64,
+    /// Real time that its ticks have taken, in all incarnations.
+    pub tick_time: Duration,
     last_tick_ms: u64,
     inbox: Vec<Event>,
 }
@@ -268,7 +273,10 @@
         for event in daemon.inbox.drain(..) {
             app.push_event(event);
         }
+        let tick_started = Instant::now();
         app.tick(now_ms, TIME_ZERO_UNIX_MS + now_ms);
+        daemon.tick_time += tick_started.elapsed();
+        daemon.tick_count += 1;
         let daemon_started_unix_ms = daemon.started_unix_ms;
         for effect in app.take_effects() {
             self.apply_effect(number, daemon_started_unix_ms, effect);
@@ -365,6 +373,8 @@
         paused_until_ms: 0,
         restart_at_ms: None,
         store_unreachable_until_ms: 0,
+        tick_count: 0,
+        tick_time: Duration::ZERO,
         last_tick_ms: 0,
         inbox: Vec::new(),
     })
--- a/crates/cassiahoist_world/src/advice.rs
+++ b/crates/cassiahoist_world/src/advice.rs
@@ -103,6 +103,8 @@
     pub busy_until_ms: FxHashMap<MemberName, u64>,
     /// When the next round of placement may begin, in monotonic milliseconds.
     pub next_round_at_ms: u64,
+    /// When the next round of requests may begin, in monotonic milliseconds.
+    pub next_request_at_ms: u64,
     /// Exponentially weighted mean share of named hosts that the service approves, by queue.
     pub approved_share: FxHashMap<QueueName, f64>,
 }
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -52,6 +52,10 @@
     pub advice_calls: u64,
     /// Claims on the slice that this daemon won.
     pub claims: u64,
+    /// Ticks of the control thread.
+    pub ticks: u64,
+    /// Time that ticks and the dispatch of their effects took, in microseconds.
+    pub tick_us: u64,
     /// Latency from the arrival of a job's call to the stored job.
     pub accept_ms: Histogram,
     /// Latency from a step's readiness to the start order of one of its tasks.
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -1,7 +1,7 @@
 //! Runs of tasks on hosts.
 
 use cassiahoist_core::prelude::*;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::SlotMap;
 
 pub use crate::keys::RunKey;
@@ -77,6 +77,12 @@
 pub struct RunTable {
     /// Runs by key. A host lists the keys of its own runs in [`Host::runs`](crate::hosts::Host::runs).
     pub rows: SlotMap<RunKey, Run>,
+    /// Runs that were ordered to stop and may need a further stop order.
+    pub stopping: FxHashSet<RunKey>,
+    /// When to look for stalled runs next, in monotonic milliseconds.
+    pub next_stall_check_at_ms: u64,
+    /// When to compare the pace of fillers with that of their hosts next, in monotonic milliseconds.
+    pub next_pace_check_at_ms: u64,
     /// When an order to any host last remained unanswered, in monotonic milliseconds.
     pub last_unanswered_at_ms: Option<u64>,
     /// Exponentially weighted mean duration of completed runs, by queue, in milliseconds.
@@ -89,6 +95,12 @@
 const SMOOTHING_FACTOR: f64 = 0.05;
 
 impl RunTable {
+    /// Removes all runs.
+    pub fn clear(&mut self) {
+        self.rows.clear();
+        self.stopping.clear();
+    }
+
     /// Adds the duration of a completed run, in milliseconds, to its queue's mean.
     pub fn record_run_time(&mut self, queue: &QueueName, took_ms: u64) {
         let mean_ms = self.mean_run_ms.entry(queue.clone()).or_insert(took_ms as f64);
