Limit open starts and follow the quickest answer with timeouts

Cause: on a full link (2 Mbit/s, small twin) start orders waited in the holder's own queues, timed out after 300 ms, were settled by a stop and a poll and sent again: 2,013 starts and 1,146 stops in 9 s, 258 KB/s of starts on a link of 250. Polls were repeated in the same way, leases ran out, and the slice went round every five seconds, though each holder had the same link and the same work. Change: a limit of open starts halves while even the quickest host seems slow (60 ms) and grows while it is in use; timeouts of orders add three times the quickest answer; polls are held longer while congested; a holder counts as slow only once the limit is at its minimum; a slow holder that took over from one of less than 15 s keeps the slice for as long. JobAccepted logs the size of the argument. Tests: few starts are open on a full link, timeouts grow, a slow holder after a short predecessor keeps the slice.

--- a/crates/cassiahoist_jobs/src/accept.rs
+++ b/crates/cassiahoist_jobs/src/accept.rs
@@ -123,6 +123,7 @@
     world.counters.accept_ms.record(now_ms - arrived_at_ms);
     let log_record = LogRecord::new(EventId::JobAccepted).with("job", record.id);
     let log_record = log_record.with("queue", &record.policy.queue).with("took_ms", now_ms - arrived_at_ms);
+    let log_record = log_record.with("argument_bytes", record.spec.argument.len());
     world.log(log_record.with("tasks", record.spec.steps.iter().map(|step| step.task_count).sum::<u32>()));
     world.answer_call(number, CallAnswer::Accepted);
     notify_holder(world, PeerMessage::JobStored(record), now_ms);
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -103,6 +103,7 @@
         return;
     }
     if revision != known_revision {
+        world.holding.claim_seen_at_ms = now_ms;
         let log_record = LogRecord::new(EventId::HolderChanged).with("holder", &claim.holder);
         world.log(log_record.with("fence", fence).with("term", claim.term));
     }
--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -6,11 +6,12 @@
 use cassiahoist_world::holding::AnswerTimeWindow;
 use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome};
 use cassiahoist_world::prelude::*;
+use cassiahoist_world::start_window::StartWindow;
 
 /// Length of a measuring window, in milliseconds.
 ///
 /// Only the quickest answer in a window counts, since some hosts are always slow.
-const WINDOW_MS: u64 = 300;
+const WINDOW_MS: u64 = 200;
 
 /// Fewest answers in a window for it to be judged. A window with fewer ends the series of slow ones.
 const MIN_WINDOW_ANSWERS: u32 = 5;
@@ -26,6 +27,11 @@
 /// The adoption explains slow answers then.
 const ADOPTION_GRACE_MS: u64 = 3_000;
 
+/// Tenure of the predecessor up to which a slow holder keeps the slice longer, in milliseconds.
+///
+/// If the slice went round a short time ago, the work makes holders slow, and another change would only add to it.
+const SHORT_TENURE_MS: u64 = 15_000;
+
 /// How long a slow holder delays its later claims, in milliseconds. Other daemons claim first then.
 const CLAIM_DELAY_PERIOD_MS: u64 = 15_000;
 
@@ -33,9 +39,8 @@
 ///
 /// A daemon without live peers keeps the slice, however slow it is.
 pub fn detect_slow_holder(world: &mut World, now_ms: u64) {
-    let past_adoption_grace =
-        world.holding.claim_won_at_ms().is_some_and(|since_ms| now_ms >= since_ms + ADOPTION_GRACE_MS);
-    if !world.holding.is_holding() || !past_adoption_grace {
+    let tenure_ms = world.holding.claim_won_at_ms().map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+    if !world.holding.is_holding() || tenure_ms < ADOPTION_GRACE_MS {
         world.holding.answer_times = AnswerTimeWindow::default();
         return;
     }
@@ -48,11 +53,14 @@
         window.answer_count += 1;
     }
     if now_ms >= window.window_end_ms {
-        close_window(window, now_ms);
+        close_window(window, &mut world.runs.start_window, now_ms);
     }
+    let was_taken_over_recently = tenure_ms < SHORT_TENURE_MS
+        && world.holding.predecessor_tenure_ms.is_some_and(|tenure_ms| tenure_ms < SHORT_TENURE_MS);
     let alone = world.members.peer_addresses(&world.local.incarnation.member).next().is_none();
     if world.holding.answer_times.slow_windows >= MAX_SLOW_WINDOWS
         && !alone
+        && !was_taken_over_recently
         && world.holding.slow_since_ms.is_none()
     {
         let min_latency_ms = world.holding.answer_times.min_latency_ms;
@@ -69,8 +77,17 @@
     (answered_by_host && !long_poll).then(|| now_ms.saturating_sub(completion.issued_at_ms))
 }
 
-fn close_window(window: &mut AnswerTimeWindow, now_ms: u64) {
-    let slow = window.answer_count >= MIN_WINDOW_ANSWERS && window.min_latency_ms >= SLOW_ANSWER_MS;
+/// Judges a window: adapts the number of open start orders, and counts consecutive slow windows.
+///
+/// A window is slow only once fewer open starts can't help, since another daemon would do no better with the same work.
+fn close_window(window: &mut AnswerTimeWindow, start_window: &mut StartWindow, now_ms: u64) {
+    let is_judged = window.answer_count >= MIN_WINDOW_ANSWERS;
+    let slow = is_judged && window.min_latency_ms >= SLOW_ANSWER_MS && start_window.is_at_minimum();
+    if is_judged && window.is_congested() {
+        start_window.shrink();
+    } else if is_judged {
+        start_window.grow();
+    }
     let slow_windows = if slow { window.slow_windows + 1 } else { 0 };
     let min_latency_ms = window.min_latency_ms;
     *window =
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -44,6 +44,10 @@
     world.wake_by(now_ms + MAX_ROUND_INTERVAL_MS);
     let may_start_inherited_jobs = may_start_inherited_jobs(world, now_ms);
     for step in ready_steps_by_rank(world) {
+        if world.runs.start_window.available() == 0 {
+            // The next answer to a start order begins another round.
+            return;
+        }
         if may_place(world, step, may_start_inherited_jobs) {
             place_step(world, step, now_ms);
         }
@@ -68,7 +72,8 @@
     let Some(requirements) = StepRequirements::new(world, step, &policy) else { return };
     let room = PlacementRoom::find(world, step, &requirements, now_ms);
     let packing = requirements.packing();
-    let remaining_tasks = remaining_queue_tasks(world, step, &requirements);
+    let remaining_tasks =
+        remaining_queue_tasks(world, step, &requirements).min(world.runs.start_window.available());
     place_pending_tasks(world, key, room, packing, remaining_tasks, now_ms);
 }
 
@@ -266,9 +271,11 @@
         host.poll.next_ms = host.poll.next_ms.min(now_ms);
     }
     world.counters.starts += 1;
+    world.runs.start_window.open();
     world.counters.start_ms.record(now_ms.saturating_sub(ready_since_ms));
     let log_record = LogRecord::new(EventId::TaskStarted).with("task", name).with("run", run_number);
     world.log(log_record.with("host", host_name).with("waited_ms", now_ms.saturating_sub(ready_since_ms)));
     let order = Order::Start { run, task: name, run_number, argument, checkpoint, ticket, lease_until_ms };
-    world.send_order(host_key, order, START_TIMEOUT_MS, now_ms);
+    let timeout_ms = START_TIMEOUT_MS + world.holding.answer_times.latency_allowance_ms();
+    world.send_order(host_key, order, timeout_ms, now_ms);
 }
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -52,7 +52,10 @@
 
 fn apply_answer(world: &mut World, completion: OrderCompletion, now_ms: u64) {
     match completion.order.order {
-        Order::Start { run, .. } => apply_start_answer(world, run, &completion.outcome, now_ms),
+        Order::Start { run, .. } => {
+            world.runs.start_window.close();
+            apply_start_answer(world, run, &completion.outcome, now_ms);
+        }
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
         Order::Stop { run: None, .. } | Order::SetPace { .. } => {}
         Order::Poll { .. } => {
@@ -206,5 +209,6 @@
     let last_end_recorded = host.last_end_recorded;
     let order = Order::Poll { lease_until_ms: None, last_end_recorded, wait_ms: 0 };
     world.counters.polls += 1;
-    world.send_order(key, order, IMMEDIATE_POLL_TIMEOUT_MS, now_ms);
+    let timeout_ms = IMMEDIATE_POLL_TIMEOUT_MS + world.holding.answer_times.latency_allowance_ms();
+    world.send_order(key, order, timeout_ms, now_ms);
 }
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -12,6 +12,9 @@
 /// Shorter wait while answers of hosts are being lost, in milliseconds. A lost answer then costs less time.
 const LOSSY_POLL_WAIT_MS: u64 = 350;
 
+/// Longer wait while the holder's own link or processor is congested, in milliseconds. Polls are fewer then.
+const CONGESTED_POLL_WAIT_MS: u64 = 1_200;
+
 /// How long polls stay short after an unanswered order, in milliseconds.
 const LOSSY_PERIOD_MS: u64 = 6_000;
 
@@ -72,7 +75,12 @@
     }
     let lease_ms = world.local.bounds.run_lease_ms;
     let lossy = world.runs.last_unanswered_at_ms.is_some_and(|at_ms| now_ms < at_ms + LOSSY_PERIOD_MS);
-    let wait_ms = if lossy { LOSSY_POLL_WAIT_MS } else { POLL_WAIT_MS };
+    let wait_ms = match (world.holding.answer_times.is_congested(), lossy) {
+        (true, _) => CONGESTED_POLL_WAIT_MS,
+        (false, true) => LOSSY_POLL_WAIT_MS,
+        (false, false) => POLL_WAIT_MS,
+    };
+    let slack_ms = POLL_SLACK_MS + world.holding.answer_times.latency_allowance_ms();
     for key in world.hosts.engaged_keys() {
         let Some(host) = world.hosts.get_mut(key) else { continue };
         let wait_ms = match decide_poll(host, wait_ms, now_ms) {
@@ -94,7 +102,7 @@
         let last_end_recorded = host.last_end_recorded;
         world.counters.polls += 1;
         let order = Order::Poll { lease_until_ms, last_end_recorded, wait_ms };
-        world.send_order(key, order, wait_ms + POLL_SLACK_MS, now_ms);
+        world.send_order(key, order, wait_ms + slack_ms, now_ms);
     }
 }
 
--- a/crates/cassiahoist_runs/src/stop_orders.rs
+++ b/crates/cassiahoist_runs/src/stop_orders.rs
@@ -38,6 +38,7 @@
         run.next_stop_at_ms = now_ms + RESEND_INTERVAL_MS;
         let (host, order) =
             (run.host, Order::Stop { run: Some(key), task: run.name, run_number: run.run_number });
-        world.send_order(host, order, STOP_TIMEOUT_MS, now_ms);
+        let timeout_ms = STOP_TIMEOUT_MS + world.holding.answer_times.latency_allowance_ms();
+        world.send_order(host, order, timeout_ms, now_ms);
     }
 }
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -130,3 +130,47 @@
         assert!(release_call(&holder).is_none());
     }
 }
+
+/// The work makes every holder slow, and the slice has gone round.
+///
+/// Each change interrupts the leases of running tasks, so the holder keeps the slice for a while.
+#[test]
+fn slow_holder_after_a_short_predecessor_keeps_the_slice() {
+    let mut holder = settled_holder();
+    holder.app.world_mut().holding.predecessor_tenure_ms = Some(5_000);
+    assert!(!answer_orders_for(&mut holder, 10_000, 150));
+    assert!(answer_orders_for(&mut holder, 6_000, 150), "released after its own long tenure");
+}
+
+/// The holder's link is full: every answer takes longer than the timeout of an idle holder.
+///
+/// An order that times out is settled and repeated, which fills the link further.
+#[test]
+fn timeouts_grow_with_the_quickest_answer_on_a_full_link() {
+    let mut holder = settled_holder();
+    let start_timeout_ms = |holder: &mut TestDaemon, id: u64| {
+        holder.add_job(id, vec![crate::support::step(1)]);
+        holder.tick(10);
+        let starts = holder.orders().filter(|order| matches!(order.order, Order::Start { .. }));
+        starts.map(|order| order.timeout_ms).max().unwrap()
+    };
+    let idle_ms = start_timeout_ms(&mut holder, 1);
+    answer_orders_for(&mut holder, 400, 90);
+    let congested_ms = start_timeout_ms(&mut holder, 2);
+    assert!(congested_ms >= idle_ms + 2 * 90, "{idle_ms} ms, then {congested_ms} ms");
+}
+
+/// The holder's link is full, and many tasks wait.
+///
+/// Few start orders are open at a time, so that the others don't time out in the holder's own queues.
+#[test]
+fn few_starts_are_open_on_a_full_link() {
+    let mut holder = settled_holder();
+    answer_orders_for(&mut holder, 1_200, 90);
+    holder.add_job(1, vec![crate::support::step(40)]);
+    holder.tick(10);
+    assert_eq!(holder.starts().len(), 8);
+    assert_eq!(holder.app.world().runs.start_window.available(), 0);
+    holder.confirm_starts();
+    assert!(holder.app.world().counters.starts > 8, "answers let further tasks start");
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -54,6 +54,31 @@
     pub slow_windows: u32,
 }
 
+/// Multiple of the lowest latency that an order's timeout allows for.
+const LATENCY_FACTOR: u64 = 3;
+
+/// Greatest time that the latency adds to an order's timeout, in milliseconds.
+const MAX_LATENCY_ALLOWANCE_MS: u64 = 1_200;
+
+/// Lowest latency from which the holder's own link or processor counts as congested, in milliseconds.
+const CONGESTED_LATENCY_MS: u64 = 60;
+
+impl AnswerTimeWindow {
+    /// Returns the time that an order's timeout adds for the holder's own delays, in milliseconds.
+    ///
+    /// An order that times out in the holder's own queues would be settled and repeated, which adds to the delay.
+    #[must_use]
+    pub fn latency_allowance_ms(&self) -> u64 {
+        (self.min_latency_ms * LATENCY_FACTOR).min(MAX_LATENCY_ALLOWANCE_MS)
+    }
+
+    /// Returns whether even the quickest host seems slow.
+    #[must_use]
+    pub fn is_congested(&self) -> bool {
+        self.min_latency_ms >= CONGESTED_LATENCY_MS
+    }
+}
+
 /// State of the removal of a claim that this daemon gave up.
 ///
 /// The removal is repeated until the store confirms it, since a claim that stayed would block other daemons
@@ -83,6 +108,10 @@
     pub term: u64,
     /// Store revision of the [`TermRecord`](crate::record::TermRecord); 0 if there is none.
     pub term_revision: u64,
+    /// When the latest claim was first seen, in monotonic milliseconds; 0 before the first.
+    pub claim_seen_at_ms: u64,
+    /// How long the claim before this daemon's own lasted, in milliseconds. `None` if it saw none.
+    pub predecessor_tenure_ms: Option<u64>,
     /// Greatest fencing token seen in the store, from peers or from hosts.
     pub greatest_fence: Fence,
     /// Since when the slice has had no claim, in monotonic milliseconds.
@@ -140,6 +169,8 @@
             claim: None,
             term: 0,
             term_revision: 0,
+            claim_seen_at_ms: 0,
+            predecessor_tenure_ms: None,
             greatest_fence: Fence(0),
             vacant_since_ms: None,
             tables_fence: Fence(0),
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod runs;
 pub mod schedule;
 pub mod spec;
+pub mod start_window;
 pub mod store;
 pub mod store_connection;
 pub mod store_writes;
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -6,6 +6,7 @@
 
 pub use crate::keys::RunKey;
 use crate::keys::{HostKey, TaskKey};
+use crate::start_window::StartWindow;
 
 /// State of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +78,8 @@
 pub struct RunTable {
     /// Runs by key. A host lists the keys of its own runs in [`Host::runs`](crate::hosts::Host::runs).
     pub rows: SlotMap<RunKey, Run>,
+    /// Limit of start orders without an answer.
+    pub start_window: StartWindow,
     /// Runs that were ordered to stop and may need a further stop order.
     pub stopping: FxHashSet<RunKey>,
     /// When to look for stalled runs next, in monotonic milliseconds.
@@ -99,6 +102,7 @@
     pub fn clear(&mut self) {
         self.rows.clear();
         self.stopping.clear();
+        self.start_window = StartWindow::default();
     }
 
     /// Adds the duration of a completed run, in milliseconds, to its queue's mean.
--- /dev/null
+++ b/crates/cassiahoist_world/src/start_window.rs
@@ -0,0 +1,62 @@
+//! Limit of start orders without an answer, adapted to the holder's own link and processor.
+
+/// Greatest limit, reached while answers are quick.
+const MAX_OPEN_STARTS: u32 = 1_024;
+
+/// Smallest limit. A holder that is too slow even with so few open starts is a slow one.
+const MIN_OPEN_STARTS: u32 = 8;
+
+/// Limit before the first measurement.
+const INITIAL_OPEN_STARTS: u32 = 128;
+
+/// Limit of start orders without an answer.
+///
+/// Orders beyond what the holder's link carries would wait in its queues, time out and be settled at the cost of further
+/// orders. Tasks wait in the tables instead, where the most urgent ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartWindow {
+    open: u32,
+    limit: u32,
+}
+
+impl Default for StartWindow {
+    fn default() -> Self {
+        Self { open: 0, limit: INITIAL_OPEN_STARTS }
+    }
+}
+
+impl StartWindow {
+    /// Counts a start order that was issued.
+    pub fn open(&mut self) {
+        self.open += 1;
+    }
+
+    /// Counts a start order that was answered or timed out.
+    pub fn close(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// Returns how many more start orders may be issued now.
+    #[must_use]
+    pub fn available(&self) -> u32 {
+        self.limit.saturating_sub(self.open)
+    }
+
+    /// Returns whether the limit can't be reduced further.
+    #[must_use]
+    pub fn is_at_minimum(&self) -> bool {
+        self.limit <= MIN_OPEN_STARTS
+    }
+
+    /// Halves the limit, since even the quickest answer was slow.
+    pub fn shrink(&mut self) {
+        self.limit = (self.limit / 2).max(MIN_OPEN_STARTS);
+    }
+
+    /// Raises the limit by half, if at least half of it is in use or it is at its minimum.
+    pub fn grow(&mut self) {
+        if self.open * 2 >= self.limit || self.is_at_minimum() {
+            self.limit = (self.limit + self.limit / 2).min(MAX_OPEN_STARTS);
+        }
+    }
+}
