Let a live holder reclaim first, and start last attempts on proven hosts

Found while reading for the misfortunes of others: one unreadable message dropped a peer's whole delivery; a progress record that can't be decoded counted as no progress, so that done tasks would run again, and was answered as queued.

--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -73,7 +73,7 @@
 
 /// Adds a job that an earlier holder may have started, with its recorded progress.
 fn restore_job(world: &mut World, record: &Arc<JobRecord>, now_ms: u64) {
-    if world.jobs.find(&record.id).is_some() {
+    if world.jobs.find(&record.id).is_some() || has_unreadable_progress(world, record.id) {
         return;
     }
     let progress = world.holding.loading.progress.as_mut().and_then(|by_job| by_job.remove(&record.id));
@@ -82,11 +82,17 @@
     apply_early_cancellation(world, record.id, now_ms);
 }
 
+/// Returns whether it is unknown which tasks of the job are done.
+fn has_unreadable_progress(world: &World, job: JobId) -> bool {
+    world.holding.loading.unreadable_progress.contains(&job)
+}
+
 /// Adds a job that was accepted under this holder's claim or an earlier one.
 pub(crate) fn add_new_job(world: &mut World, record: &Arc<JobRecord>, now_ms: u64) {
     // A job accepted under a later claim is for the holder of that claim to start.
     let claim_covers_job = world.holding.fence().is_some_and(|fence| record.claim <= fence);
-    if !claim_covers_job || world.jobs.find(&record.id).is_some() {
+    if !claim_covers_job || world.jobs.find(&record.id).is_some() || has_unreadable_progress(world, record.id)
+    {
         return;
     }
     insert_job(world, record, None, now_ms);
--- a/crates/cassiahoist_jobs/src/query.rs
+++ b/crates/cassiahoist_jobs/src/query.rs
@@ -160,6 +160,11 @@
         Ok(StoreReply::Item(Some(StoreItem { value: StoreValue::Progress(progress), .. }))) => {
             world.answer_call(number, CallAnswer::State(progress.state));
         }
+        // Without its progress the job may be in any state.
+        Ok(StoreReply::Item(Some(StoreItem { value: StoreValue::Unreadable { reason }, .. }))) => {
+            let reason = format!("the record is unreadable: {reason}");
+            refuse_call(world, number, ErrorKind::StateAway, &reason, now_ms);
+        }
         Ok(StoreReply::Item(Some(_))) => world.answer_call(number, CallAnswer::State(JobState::Queued)),
         Ok(StoreReply::Item(None)) if call.stage == CallStage::ReadingProgress => {
             call.stage = CallStage::ReadingJob;
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -24,6 +24,17 @@
 /// Extra delay of claims by a daemon that was a slow holder, in milliseconds.
 const SLOW_HOLDER_DELAY_MS: u64 = 2_000;
 
+/// Delay of claims while the last holder is alive, in milliseconds.
+///
+/// An outage of the store ends the leases of all daemons. The last holder still has its tables, and goes on at once if it
+/// is the first to claim.
+const LAST_HOLDER_LEAD_MS: u64 = 400;
+
+/// Age of the last holder's heartbeat up to which it counts as alive when its claim ends, in milliseconds.
+///
+/// The claim of a daemon that was killed ends later than this after its last heartbeat.
+const MAX_HEARTBEAT_AGE_MS: u64 = 1_000;
+
 /// Delay before a failed claim is retried, in milliseconds from when it was sent.
 const RETRY_DELAY_MS: u64 = 250;
 
@@ -56,14 +67,7 @@
         // An earlier incarnation of this daemon held the slice and has ended.
         (Some((claim, _)), _) if claim.holder.member == own.member && claim.holder != *own => retry_at_ms,
         (None, Some(vacant_since_ms)) => {
-            let last_member = holding.last_holder.as_ref().map(|holder| &holder.member);
-            let claim_rank = world.members.claim_rank(
-                &own.member,
-                world.local.limits,
-                last_member.filter(|member| **member != own.member),
-            );
-            let extra_delay_ms = if now_ms < holding.yield_until_ms { SLOW_HOLDER_DELAY_MS } else { 0 };
-            retry_at_ms.max(vacant_since_ms + extra_delay_ms + claim_rank as u64 * RANK_DELAY_MS)
+            retry_at_ms.max(vacant_since_ms + claim_delay_ms(world, vacant_since_ms, now_ms))
         }
         _ => return ClaimDecision::Skip,
     };
@@ -73,6 +77,30 @@
     ClaimDecision::Claim(holding.claim.as_ref().map_or(0, |(_, revision)| *revision))
 }
 
+/// Returns how long this daemon leaves a vacant slice to others, in milliseconds.
+fn claim_delay_ms(world: &World, vacant_since_ms: u64, now_ms: u64) -> u64 {
+    let holding = &world.holding;
+    let own = &world.local.incarnation;
+    let yields = now_ms < holding.yield_until_ms;
+    if holding.last_holder.as_ref() == Some(own) && !yields {
+        return 0;
+    }
+    let last_member = holding.last_holder.as_ref().map(|holder| &holder.member);
+    let left_out = last_member.filter(|member| **member != own.member);
+    let claim_rank = world.members.claim_rank(&own.member, world.local.limits, left_out);
+    let rank_delay_ms = claim_rank as u64 * RANK_DELAY_MS;
+    let slow_delay_ms = if yields { SLOW_HOLDER_DELAY_MS } else { 0 };
+    let lead_ms = if is_last_holder_alive(world, vacant_since_ms) { LAST_HOLDER_LEAD_MS } else { 0 };
+    rank_delay_ms + slow_delay_ms + lead_ms
+}
+
+/// Returns whether the last holder's claim ended with its lease although its process runs.
+fn is_last_holder_alive(world: &World, vacant_since_ms: u64) -> bool {
+    let heartbeat_at_ms = world.calls.holder_status.as_ref().map(|status| status.received_at_ms);
+    !world.holding.was_released
+        && heartbeat_at_ms.is_some_and(|at_ms| vacant_since_ms <= at_ms + MAX_HEARTBEAT_AGE_MS)
+}
+
 /// Sends a claim if the slice is vacant and this daemon's turn has come.
 pub fn claim_vacant_slice(world: &mut World, now_ms: u64) {
     let revision = match decide_claim(world, now_ms) {
@@ -88,7 +116,7 @@
         .with_expect(StoreKey::Claim(SLICE), revision)
         .with_expect(StoreKey::Term(SLICE), world.holding.term_revision)
         .with_leased_put(StoreKey::Claim(SLICE), StoreValue::Claim(claim), lease)
-        .with_put(StoreKey::Term(SLICE), StoreValue::Term(TermRecord { term, holder }));
+        .with_put(StoreKey::Term(SLICE), StoreValue::Term(TermRecord { term, holder, released: false }));
     world.holding.claim_sent_at_ms = now_ms;
     world.holding.apply_event(HoldingEvent::ClaimSent);
     world.call_store(StorePurpose::ClaimSlice, StoreOp::Commit(transaction), now_ms, CLAIM_TIMEOUT_MS);
@@ -159,6 +187,7 @@
     let log_record = LogRecord::new(EventId::ClaimWon).with("fence", fence).with("term", term);
     world.log(log_record.with("unbroken", unbroken));
     world.holding.term = term;
+    world.holding.was_released = false;
     // Every claim writes its term record in the same transaction.
     world.holding.term_revision = fence;
     world.holding.last_holder = Some(own);
--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -34,6 +34,7 @@
             .add_system(TickSet::Membership, lease::maintain_lease)
             .add_system(TickSet::Membership, members::apply_cell_changes)
             .add_system(TickSet::Membership, members::register_member)
+            .add_system(TickSet::Membership, members::log_unreadable_messages)
             .add_system(TickSet::Membership, members::apply_heartbeats)
             .add_system(TickSet::Membership, claim::apply_claim_answers)
             .add_system(TickSet::Membership, claim::claim_vacant_slice)
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -56,6 +56,9 @@
         world.holding.loading.progress_in_flight = false;
         match completion.outcome {
             Ok(StoreReply::Items { items, .. }) => {
+                for item in &items {
+                    skip_unreadable_progress(world, item);
+                }
                 let rows = items.into_iter().filter_map(progress_row).collect();
                 world.holding.loading.progress = Some(rows);
             }
@@ -64,6 +67,15 @@
     }
 }
 
+/// Excludes the job of a progress record that can't be decoded.
+fn skip_unreadable_progress(world: &mut World, item: &StoreItem) {
+    if let (StoreKey::Progress(job), StoreValue::Unreadable { reason }) = (&item.key, &item.value) {
+        world.holding.loading.unreadable_progress.insert(*job);
+        let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{:?}", item.key));
+        world.log(log_record.with("reason", reason));
+    }
+}
+
 /// Progress of a job, with the store revision of its record.
 type ProgressRow = (JobId, (cassiahoist_world::record::ProgressRecord, u64));
 
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -61,7 +61,8 @@
     }
     match item.value {
         StoreValue::Claim(claim) => apply_claim(world, claim, item.revision, now_ms),
-        StoreValue::Term(TermRecord { term, holder }) if term >= world.holding.term => {
+        StoreValue::Term(TermRecord { term, holder, released }) if term >= world.holding.term => {
+            world.holding.was_released = released;
             world.holding.term = term;
             world.holding.term_revision = item.revision;
             world.holding.last_holder = Some(holder);
@@ -70,7 +71,8 @@
             if record.incarnation == world.local.incarnation {
                 world.members.registered = true;
             }
-            if world.members.get(&record.incarnation.member) != Some(&record) {
+            // With many daemons, each of which logged this, the lines would outnumber all others.
+            if world.holding.is_holding() && world.members.get(&record.incarnation.member) != Some(&record) {
                 world.log(LogRecord::new(EventId::MemberJoined).with("member", &record.incarnation));
             }
             world.members.insert(record);
@@ -135,7 +137,7 @@
             if *name == world.local.incarnation.member {
                 world.members.registered = false;
             }
-            if world.members.remove(name) {
+            if world.members.remove(name) && world.holding.is_holding() {
                 world.log(LogRecord::new(EventId::MemberLeft).with("member", name));
             }
         }
@@ -181,6 +183,14 @@
     world.call_store(StorePurpose::RegisterMember, StoreOp::Commit(transaction), now_ms, REGISTER_TIMEOUT_MS);
 }
 
+/// Logs messages of peers that can't be decoded.
+pub fn log_unreadable_messages(world: &mut World, _now_ms: u64) {
+    for (sender, reason) in std::mem::take(&mut world.inbox.unreadable_messages) {
+        let log_record = LogRecord::new(EventId::PeerMessageSkipped).with("member", &sender.incarnation);
+        world.log(log_record.with("reason", reason));
+    }
+}
+
 /// Applies the heartbeats that the holder sends to every daemon.
 pub fn apply_heartbeats(world: &mut World, now_ms: u64) {
     for (_, message) in
--- a/crates/cassiahoist_membership/src/stop.rs
+++ b/crates/cassiahoist_membership/src/stop.rs
@@ -7,7 +7,8 @@
 use cassiahoist_world::holding::ClaimRelease;
 use cassiahoist_world::local::StopState;
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::store::{StoreKey, StoreOp, StorePurpose, StoreReply, Transaction};
+use cassiahoist_world::record::TermRecord;
+use cassiahoist_world::store::{StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue, Transaction};
 
 use crate::claim::SLICE;
 use crate::step_down::{StepDownCause, step_down};
@@ -61,9 +62,12 @@
 }
 
 fn send_release(world: &mut World, fence: Fence, now_ms: u64) {
+    let holder = world.local.incarnation.clone();
+    let term = TermRecord { term: world.holding.term, holder, released: true };
     let transaction = Transaction::default()
         .with_expect(StoreKey::Claim(SLICE), fence.0)
-        .with_delete(StoreKey::Claim(SLICE));
+        .with_delete(StoreKey::Claim(SLICE))
+        .with_put(StoreKey::Term(SLICE), StoreValue::Term(term));
     world.holding.claim_release = ClaimRelease::InFlight(fence);
     world.call_store(StorePurpose::ReleaseClaim, StoreOp::Commit(transaction), now_ms, STORE_TIMEOUT_MS);
 }
--- a/crates/cassiahoist_placement/src/choose.rs
+++ b/crates/cassiahoist_placement/src/choose.rs
@@ -15,6 +15,8 @@
     pub capacity: Resources,
     /// Whether a run of the task has failed on the host.
     pub failed_before: bool,
+    /// Whether no task completed on the host lately, although the task's next failure fails its job.
+    pub unproven: bool,
     /// Whether the task's data is on another rack; `false` without a data rack.
     pub off_data_rack: bool,
     /// Whether serving tasks and fillers would share the host.
@@ -25,16 +27,16 @@
 
 /// Chooses the candidate with the lowest penalty and returns what it is paired with.
 ///
-/// `None` if there is no candidate. In order of weight, it avoids hosts on which the task failed, interference between
-/// serving tasks and fillers, other racks than that of the data, and hosts with failures. Among equals, `packing`
-/// decides.
+/// `None` if there is no candidate. In order of weight, it avoids hosts on which the task failed, unproven hosts for a
+/// last attempt, interference between serving tasks and fillers, other racks than that of the data, and hosts with
+/// failures. Among equals, `packing` decides.
 #[must_use]
 pub fn choose_candidate<T>(candidates: impl Iterator<Item = (T, Candidate)>, packing: Packing) -> Option<T> {
     candidates.min_by_key(|(_, candidate)| penalty(candidate, packing)).map(|(paired, _)| paired)
 }
 
 /// Returns the sort key of a candidate; the lowest wins.
-fn penalty(candidate: &Candidate, packing: Packing) -> (bool, bool, bool, u32, u64) {
+fn penalty(candidate: &Candidate, packing: Packing) -> (bool, bool, bool, bool, u32, u64) {
     // Thousandths of the host's capacity, so that hosts of different sizes compare.
     let remaining = (candidate.remaining.dominant_share(&candidate.capacity) * 1_000.0) as u64;
     let packing_penalty = match packing {
@@ -43,6 +45,7 @@
     };
     (
         candidate.failed_before,
+        candidate.unproven,
         candidate.would_interfere,
         candidate.off_data_rack,
         candidate.failures,
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -22,6 +22,11 @@
 /// Time reserved to deliver a start order before its ticket expires, in milliseconds.
 pub(crate) const TICKET_MARGIN_MS: u64 = 60;
 
+/// Time for which a completed task shows that its host works, in milliseconds.
+///
+/// Where many hosts begin to fail at a time, most have failed nothing yet when a failed task runs again.
+const PROVEN_MS: u64 = 600;
+
 /// Minimum time between rounds of placement, in milliseconds.
 ///
 /// An answer with advice starts a round at once.
@@ -122,17 +127,19 @@
             .map(|(key, host)| (key, host, requirements.tasks_that_fit(host)))
             .filter(|(_, _, fitting_tasks)| *fitting_tasks > 0)
             .map(|(key, host, fitting_tasks)| {
-                (build_candidate(world, requirements, key, host), fitting_tasks)
+                (build_candidate(world, requirements, key, host, now_ms), fitting_tasks)
             });
         Self { candidates: candidates.collect(), task_size: requirements.reserved_resources }
     }
 
     /// Returns the position of the best candidate for a task.
     fn choose(&self, world: &World, task: &Task, packing: Packing) -> Option<usize> {
+        let is_last_attempt = is_last_attempt(world, task);
         let for_task = |(position, (candidate, _)): (usize, &(Candidate, u32))| {
             let failed_before = task.failed_hosts.contains(&candidate.host);
+            let unproven = candidate.unproven && is_last_attempt;
             (!has_copy_on(world, task, candidate.host))
-                .then_some((position, Candidate { failed_before, ..*candidate }))
+                .then_some((position, Candidate { failed_before, unproven, ..*candidate }))
         };
         choose_candidate(self.candidates.iter().enumerate().filter_map(for_task), packing)
     }
@@ -200,6 +207,14 @@
     is_valid.then_some(&ticket.text)
 }
 
+/// Returns whether the task failed before and its next failure fails its job.
+fn is_last_attempt(world: &World, task: &Task) -> bool {
+    let step = world.jobs.steps.get(task.step);
+    let job = step.and_then(|step| world.jobs.get(step.job));
+    let failures = task.failed_runs.len() as u32;
+    failures > 0 && job.is_some_and(|job| failures + 1 >= job.record.policy.max_attempts)
+}
+
 /// Returns whether an earlier run of the task may still exist on the host.
 fn has_copy_on(world: &World, task: &Task, host: HostKey) -> bool {
     let mut copies = task.detached_runs.iter().filter_map(|run| world.runs.rows.get(*run));
@@ -211,6 +226,7 @@
     requirements: &StepRequirements<'_>,
     key: HostKey,
     host: &Host,
+    now_ms: u64,
 ) -> Candidate {
     let off_data_rack = requirements.spec.data_rack.as_ref().is_some_and(|rack| !host.has_label(rack));
     Candidate {
@@ -218,6 +234,7 @@
         remaining: host.free_resources().saturating_sub(&requirements.reserved_resources),
         capacity: host.entry.capacity,
         failed_before: false,
+        unproven: now_ms > host.standing.last_done_at_ms + PROVEN_MS,
         off_data_rack,
         would_interfere: would_interfere(world, requirements, host),
         failures: host.standing.failures,
--- a/crates/cassiahoist_runs/src/health.rs
+++ b/crates/cassiahoist_runs/src/health.rs
@@ -32,12 +32,13 @@
 }
 
 /// Resets a host's failures and ends its quarantine after it completed a task.
-pub(crate) fn record_success(world: &mut World, host: HostKey) {
+pub(crate) fn record_success(world: &mut World, host: HostKey, now_ms: u64) {
     if let Some(host) = world.hosts.get_mut(host) {
         host.standing.failures = 0;
         host.standing.failed_job = None;
         host.standing.quarantines = 0;
         host.standing.quarantined_until_ms = 0;
+        host.standing.last_done_at_ms = now_ms;
     }
 }
 
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -33,7 +33,7 @@
     match ending {
         RunEnding::Done => {
             world.counters.runs_done += 1;
-            record_success(world, run.host);
+            record_success(world, run.host, now_ms);
             record_run_time(world, run.task, now_ms - run.start_sent_at_ms);
             finish_task(world, run.task, now_ms);
         }
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -2,15 +2,16 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::{StepDownCause, step_down};
+use cassiahoist_world::calls::HolderStatus;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::holding::HoldingEvent;
 use cassiahoist_world::members::MemberTable;
-use cassiahoist_world::record::{ClaimRecord, MemberRecord};
+use cassiahoist_world::record::{ClaimRecord, MemberRecord, TermRecord};
 use cassiahoist_world::store::{
     KeySpace, StoreChange, StoreCompletion, StoreItem, StoreKey, StorePurpose, StoreReply, StoreValue,
 };
 
-use crate::support::TestDaemon;
+use crate::support::{TestDaemon, job_record, step};
 
 fn member(name: &str, cpu_milli: u32, link_mbps: u32) -> MemberRecord {
     MemberRecord {
@@ -81,3 +82,106 @@
     daemon.receive_event(Event::StoreCompleted(Box::new(completion(now_ms + 1))));
     assert!(daemon.app.world().holding.loading.roster_loaded);
 }
+
+/// Creates a standby that follows a holder, with a lease of its own.
+///
+/// The holder's heartbeat arrived `heartbeat_age_ms` ago.
+fn follower_of_a_holder(heartbeat_age_ms: u64) -> TestDaemon {
+    let mut daemon = TestDaemon::standby();
+    daemon.tick(2_000);
+    let now_ms = daemon.now_ms;
+    let world = daemon.app.world_mut();
+    world.store_connection.lease = Some(7);
+    world.store_connection.next_lease_call_at_ms = u64::MAX;
+    world.holding.last_holder = Some("edge-9#1".parse().unwrap());
+    world.holding.term = 1;
+    world.calls.holder_status =
+        Some(HolderStatus { received_at_ms: now_ms - heartbeat_age_ms, ..HolderStatus::default() });
+    let claim =
+        ClaimRecord { holder: "edge-9#1".parse().unwrap(), peer_address: "10.1.0.9:7720".into(), term: 1 };
+    let item = StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision: 80 };
+    let listing = StoreReply::Items { items: vec![item], revision: 80 };
+    daemon.receive_event(Event::StoreCompleted(Box::new(StoreCompletion {
+        purpose: StorePurpose::FollowRange(KeySpace::Cell),
+        issued_at_ms: now_ms,
+        outcome: Ok(listing),
+    })));
+    daemon
+}
+
+/// Removes the holder's claim and returns how long the daemon waits before its own, in milliseconds.
+fn claim_delay_ms(daemon: &mut TestDaemon, changes: Vec<StoreChange>) -> u64 {
+    daemon.receive_changes(KeySpace::Cell, changes, 90);
+    let vacant_ms = daemon.now_ms;
+    while !daemon.store_calls().any(|call| call.purpose == StorePurpose::ClaimSlice) {
+        daemon.tick(10);
+        assert!(daemon.now_ms < vacant_ms + 2_000);
+    }
+    daemon.now_ms - vacant_ms
+}
+
+fn claim_removed() -> StoreChange {
+    StoreChange::Removed { key: StoreKey::Claim(SliceId(0)), revision: 90 }
+}
+
+/// An outage of the store ended all leases, but the last holder still runs.
+///
+/// It keeps its tables if it claims first, so the others leave it the time to do so.
+#[test]
+fn lapsed_claim_is_left_to_a_live_holder_first() {
+    let delay_ms = claim_delay_ms(&mut follower_of_a_holder(200), vec![claim_removed()]);
+    assert!(delay_ms >= 400, "{delay_ms} ms");
+}
+
+#[test]
+fn claim_of_a_dead_holder_is_taken_at_once() {
+    let delay_ms = claim_delay_ms(&mut follower_of_a_holder(1_200), vec![claim_removed()]);
+    assert!(delay_ms <= 20, "{delay_ms} ms");
+}
+
+#[test]
+fn released_claim_is_taken_at_once() {
+    let term = TermRecord { term: 1, holder: "edge-9#1".parse().unwrap(), released: true };
+    let item = StoreItem { key: StoreKey::Term(SliceId(0)), value: StoreValue::Term(term), revision: 90 };
+    let changes = vec![claim_removed(), StoreChange::Written(item)];
+    let delay_ms = claim_delay_ms(&mut follower_of_a_holder(200), changes);
+    assert!(delay_ms <= 20, "{delay_ms} ms");
+}
+
+/// A daemon of another version wrote the progress of a job.
+///
+/// Its tasks may be done, so the new holder starts none of them.
+#[test]
+fn job_with_unreadable_progress_is_not_started_again() {
+    let mut daemon = TestDaemon::standby();
+    let now_ms = daemon.now_ms;
+    let world = daemon.app.world_mut();
+    world.holding.apply_event(HoldingEvent::ClaimWon { fence: Fence(90), at_ms: now_ms });
+    world.holding.claim_sent_at_ms = now_ms;
+    daemon.tick(1);
+    let now_ms = daemon.now_ms;
+    let record = job_record(1, vec![step(1)]);
+    let answer = |purpose, outcome| {
+        Event::StoreCompleted(Box::new(StoreCompletion {
+            purpose,
+            issued_at_ms: now_ms,
+            outcome: Ok(outcome),
+        }))
+    };
+    let progress = StoreItem {
+        key: StoreKey::Progress(record.id),
+        value: StoreValue::Unreadable { reason: "another version".into() },
+        revision: 70,
+    };
+    let job = StoreItem { key: StoreKey::Job(record.id), value: StoreValue::Job(record), revision: 60 };
+    daemon.receive_event(answer(
+        StorePurpose::LoadProgress,
+        StoreReply::Items { items: vec![progress], revision: 95 },
+    ));
+    daemon.receive_event(answer(
+        StorePurpose::FollowRange(KeySpace::Jobs),
+        StoreReply::Items { items: vec![job], revision: 95 },
+    ));
+    assert!(daemon.app.world().holding.loading.jobs_loaded);
+    assert_eq!(daemon.app.world().jobs.len(), 0);
+}
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -265,3 +265,27 @@
     assert_eq!(starts.len(), 2, "{starts:?}");
     assert!(starts.iter().all(|(host, ..)| host == "i-1"), "{starts:?}");
 }
+
+/// Many hosts begin to fail at a time, and most of them have failed nothing yet when a failed task runs again.
+///
+/// Its last attempt goes to the one host on which a task has just completed, although another is packed tighter.
+#[test]
+fn last_attempt_goes_to_a_host_that_has_just_completed_a_task() {
+    let mut holder = TestDaemon::with_hosts(3);
+    let proven = holder.host(2);
+    let packed = holder.host(1);
+    let failed = holder.host(0);
+    let job = holder.add_job(1, vec![step(1)]);
+    let now_ms = holder.now_ms;
+    let world = holder.app.world_mut();
+    world.hosts.get_mut(proven).unwrap().standing.last_done_at_ms = now_ms;
+    world.hosts.get_mut(packed).unwrap().reserved = Resources::new(6_000, 0, 0);
+    let step_key = world.jobs.get(job).unwrap().steps[0];
+    let task = world.jobs.steps[step_key].tasks[0];
+    world.jobs.tasks[task].failed_runs.push(1);
+    world.jobs.tasks[task].failed_hosts.push(failed);
+    holder.tick(10);
+    let starts = holder.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, "i-2");
+}
--- a/crates/cassiahoist_traffic/src/peer_server.rs
+++ b/crates/cassiahoist_traffic/src/peer_server.rs
@@ -43,9 +43,14 @@
 #[tonic::async_trait]
 impl Peer for PeerEndpoint {
     async fn deliver(&self, request: Request<DeliverRequest>) -> Result<Response<DeliverReply>, Status> {
-        let (from, messages) = decode_delivery(&request.into_inner())
+        let delivery = decode_delivery(&request.into_inner())
             .map_err(|error| Status::invalid_argument(error.to_string()))?;
-        for message in messages {
+        let from = delivery.sender;
+        for error in delivery.unreadable {
+            let (from, reason) = (from.clone(), error.to_string());
+            self.control.send(Event::UnreadablePeerMessage { from, reason });
+        }
+        for message in delivery.messages {
             self.control.send(Event::PeerMessageReceived { from: from.clone(), message });
         }
         Ok(Response::new(DeliverReply {}))
--- a/crates/cassiahoist_wire/src/peer.rs
+++ b/crates/cassiahoist_wire/src/peer.rs
@@ -25,19 +25,29 @@
     Ok(DeliverRequest { from: from.to_string(), messages, address: address.into() })
 }
 
-/// Decodes a delivery into its sender and messages.
+/// Messages of one delivery.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Delivery {
+    /// Daemon that sent them.
+    pub sender: PeerSender,
+    /// Readable messages, in order.
+    pub messages: Vec<PeerMessage>,
+    /// Why each of the others is unreadable. A daemon of another version may send such messages.
+    pub unreadable: Vec<HoistError>,
+}
+
+/// Decodes a delivery. An unreadable message doesn't affect the others.
 ///
 /// # Errors
-/// Returns [`HoistError::InvalidName`] if the sender's name is malformed, or [`HoistError::InvalidMessage`] if a
-/// message is.
-pub fn decode_delivery(request: &DeliverRequest) -> Result<(PeerSender, Vec<PeerMessage>), HoistError> {
+/// Returns [`HoistError::InvalidName`] if the sender's name is malformed.
+pub fn decode_delivery(request: &DeliverRequest) -> Result<Delivery, HoistError> {
     let sender = PeerSender { incarnation: request.from.parse()?, address: request.address.clone() };
-    let messages = request
-        .messages
-        .iter()
-        .map(|bytes| {
-            serde_json::from_slice(bytes).map_err(|error| HoistError::InvalidMessage(error.to_string()))
-        })
-        .collect::<Result<_, _>>()?;
-    Ok((sender, messages))
+    let mut delivery = Delivery { sender, messages: Vec::new(), unreadable: Vec::new() };
+    for bytes in &request.messages {
+        match serde_json::from_slice(bytes) {
+            Ok(message) => delivery.messages.push(message),
+            Err(error) => delivery.unreadable.push(HoistError::InvalidMessage(error.to_string())),
+        }
+    }
+    Ok(delivery)
 }
--- a/crates/cassiahoist_world/src/event.rs
+++ b/crates/cassiahoist_world/src/event.rs
@@ -27,6 +27,13 @@
         /// Message of the peer. An advice reply is processed like [`Event::AdviceReceived`].
         message: PeerMessage,
     },
+    /// A peer sent a message that can't be decoded. Messages beside it are not affected.
+    UnreadablePeerMessage {
+        /// Daemon that sent it.
+        from: PeerSender,
+        /// Why it can't be decoded.
+        reason: String,
+    },
     /// An operator submitted declarations.
     DeclareCallReceived(DeclareCall),
     /// The process was asked to stop.
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use cassiahoist_core::prelude::*;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
 pub use crate::holding_machine::HoldingEvent;
@@ -19,6 +19,8 @@
     pub hosts_loaded: bool,
     /// Progress records with their revisions, by job; `None` until they are read.
     pub progress: Option<FxHashMap<JobId, (ProgressRecord, u64)>>,
+    /// Jobs whose progress record can't be decoded. Their tasks may be done, so none of them is started.
+    pub unreadable_progress: FxHashSet<JobId>,
     /// Whether the call for progress records is in flight.
     pub progress_in_flight: bool,
     /// Roster as read; `None` before that and once its hosts are in the tables.
@@ -108,6 +110,8 @@
     pub term: u64,
     /// Store revision of the [`TermRecord`](crate::record::TermRecord); 0 if there is none.
     pub term_revision: u64,
+    /// Whether the latest claim was removed by its holder, and did not end with its lease.
+    pub was_released: bool,
     /// When the latest claim was first seen, in monotonic milliseconds; 0 before the first.
     pub claim_seen_at_ms: u64,
     /// How long the claim before this daemon's own lasted, in milliseconds. `None` if it saw none.
@@ -169,6 +173,7 @@
             claim: None,
             term: 0,
             term_revision: 0,
+            was_released: false,
             claim_seen_at_ms: 0,
             predecessor_tenure_ms: None,
             greatest_fence: Fence(0),
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -70,6 +70,8 @@
     pub quarantined_until_ms: u64,
     /// Quarantines since a task last completed there; each doubles the next one.
     pub quarantines: u32,
+    /// When a task last completed there, in monotonic milliseconds; 0 if none did.
+    pub last_done_at_ms: u64,
 }
 
 /// Runs that the last poll listed and that have no row. They are being stopped.
--- a/crates/cassiahoist_world/src/inbox.rs
+++ b/crates/cassiahoist_world/src/inbox.rs
@@ -34,6 +34,8 @@
     pub advice_answers: Vec<AdviceAnswer>,
     /// Messages of peers other than advice.
     pub peer_messages: Vec<(PeerSender, PeerMessage)>,
+    /// Messages of peers that can't be decoded, with the reason.
+    pub unreadable_messages: Vec<(PeerSender, String)>,
     /// Operators' calls to store declarations.
     pub declare_calls: Vec<DeclareCall>,
     /// Stored declarations as the followed range shows them; `None` if they were removed.
@@ -55,6 +57,7 @@
                 self.advice_answers.push(answer);
             }
             Event::PeerMessageReceived { from, message } => self.peer_messages.push((from, message)),
+            Event::UnreadablePeerMessage { from, reason } => self.unreadable_messages.push((from, reason)),
             Event::DeclareCallReceived(call) => self.declare_calls.push(call),
             Event::StopRequested => self.stop_requested = true,
         }
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -133,6 +133,9 @@
     pub term: u64,
     /// Daemon that made it.
     pub holder: Incarnation,
+    /// Whether the holder removed the claim itself. A claim that ended with its lease leaves this false.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub released: bool,
 }
 
 /// A registered daemon; it writes this record under its store lease.
