Ignore late answers of an earlier holding, and bound what grows

Cause, from reading: commit numbers restarted when the tables were cleared, so a late answer could count for a commit of the next holding and let hosts drop ends that no record holds; roster writes and removals of an earlier holding were applied to the present tables in the same way; cancellations of jobs that never come were kept without limit; due jobs were deduplicated unsorted; a lasting accept error looped without a pause; a roster conflict left the roster as it was. Change: numbers go on, answers from before the claim are ignored, 4,096 early cancellations are kept, the loops pause 50 ms.

--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -54,6 +54,10 @@
     for completion in world.inbox.take_store_results(|purpose| *purpose == StorePurpose::WriteRoster) {
         world.store_writes.roster_in_flight = false;
         let written_hosts = std::mem::take(&mut world.store_writes.roster_hosts_in_flight);
+        if !world.holding.is_since_claim(completion.issued_at_ms) {
+            world.store_writes.roster_stale = true;
+            continue;
+        }
         match completion.outcome {
             Ok(StoreReply::Committed { revision }) => {
                 world.store_writes.roster_revision = revision;
@@ -68,6 +72,7 @@
             Ok(StoreReply::Conflict { items }) => {
                 let roster = items.iter().find(|item| item.key == StoreKey::HostRoster(SLICE));
                 world.store_writes.roster_revision = roster.map_or(0, |item| item.revision);
+                world.store_writes.roster_stale = true;
             }
             Ok(_) | Err(_) => {
                 world.store_writes.roster_stale = true;
--- a/crates/cassiahoist_jobs/src/job_removal.rs
+++ b/crates/cassiahoist_jobs/src/job_removal.rs
@@ -29,7 +29,8 @@
 pub fn remove_old_jobs(world: &mut World, now_ms: u64) {
     for completion in world.inbox.take_store_results(|purpose| *purpose == StorePurpose::RemoveJobs) {
         let jobs_in_removal = std::mem::take(&mut world.store_writes.jobs_in_removal);
-        if matches!(completion.outcome, Ok(StoreReply::Committed { .. })) {
+        let is_present = world.holding.is_since_claim(completion.issued_at_ms);
+        if is_present && matches!(completion.outcome, Ok(StoreReply::Committed { .. })) {
             for key in jobs_in_removal {
                 world.jobs.remove(key);
             }
--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -16,6 +16,14 @@
 
 use crate::job_rows::{InheritedState, insert_job};
 
+/// Maximum number of cancellations that are kept for jobs not yet in the tables.
+const MAX_EARLY_CANCELLATIONS: usize = 4_096;
+
+/// Time after which a job whose cancellation was kept is no longer expected, in milliseconds.
+///
+/// A stored job reaches the tables by the watch of the store if the notice of its server was lost.
+const EARLY_CANCELLATION_LIFETIME_MS: u64 = 20_000;
+
 /// Applies stored jobs and cancellations: all of them at a new holder, changes afterwards.
 pub fn load_jobs(world: &mut World, now_ms: u64) {
     if world.holding.fence().is_none() {
@@ -101,18 +109,30 @@
 
 /// Cancels a job whose cancellation was received before the job itself.
 fn apply_early_cancellation(world: &mut World, id: JobId, now_ms: u64) {
-    if world.jobs.early_cancellations.remove(&id) {
+    if world.jobs.early_cancellations.remove(&id).is_some() {
         apply_cancellation(world, id, now_ms);
     }
 }
 
+/// Keeps the cancellation of a job that is not in the tables.
+///
+/// At most [`MAX_EARLY_CANCELLATIONS`] are kept. Beyond that, those whose jobs have not come in time are dropped.
+fn keep_early_cancellation(world: &mut World, id: JobId, now_ms: u64) {
+    let cancellations = &mut world.jobs.early_cancellations;
+    if cancellations.len() >= MAX_EARLY_CANCELLATIONS {
+        cancellations.retain(|_, at_ms| now_ms < *at_ms + EARLY_CANCELLATION_LIFETIME_MS);
+    }
+    if cancellations.len() < MAX_EARLY_CANCELLATIONS {
+        cancellations.insert(id, now_ms);
+    }
+}
+
 /// Cancels a job and stops its runs.
 ///
 /// The cancellation of a job that is not in the tables is kept until the job is added.
 pub(crate) fn apply_cancellation(world: &mut World, id: JobId, now_ms: u64) {
     let Some(key) = world.jobs.find(&id) else {
-        world.jobs.early_cancellations.insert(id);
-        return;
+        return keep_early_cancellation(world, id, now_ms);
     };
     let unix_ms = world.local.unix_ms;
     let Some(job) = world.jobs.get_mut(key) else { return };
@@ -170,6 +190,7 @@
             next_due_unix_ms = next_due_unix_ms.min(step.due_unix_ms);
         }
     }
+    due_jobs.sort_unstable();
     due_jobs.dedup();
     for job in due_jobs {
         advance_job(world, job, now_ms);
--- a/crates/cassiahoist_jobs/src/progress.rs
+++ b/crates/cassiahoist_jobs/src/progress.rs
@@ -114,6 +114,9 @@
                     job.recorded_state = state;
                     job.progress_revision = revision;
                 }
+                if state.is_final() {
+                    world.jobs.remove_steps(key);
+                }
             }
         }
         Ok(StoreReply::Conflict { items }) => {
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -46,9 +46,8 @@
 
 /// Takes the answers to reads made since the current claim. Older reads may miss later writes.
 fn take_current_answers(world: &mut World, purpose: &StorePurpose) -> Vec<StoreCompletion> {
-    let claim_won_at_ms = world.holding.claim_won_at_ms().unwrap_or(u64::MAX);
     let answers = world.inbox.take_store_results(|other| other == purpose);
-    answers.into_iter().filter(|completion| completion.issued_at_ms >= claim_won_at_ms).collect()
+    answers.into_iter().filter(|completion| world.holding.is_since_claim(completion.issued_at_ms)).collect()
 }
 
 fn apply_progress_answers(world: &mut World, now_ms: u64) {
--- a/crates/cassiahoist_membership/src/step_down.rs
+++ b/crates/cassiahoist_membership/src/step_down.rs
@@ -49,6 +49,6 @@
     world.runs.clear();
     world.hosts.clear();
     world.advice.open_calls.clear();
-    world.store_writes = cassiahoist_world::store_writes::StoreWriteTable::default();
+    world.store_writes.clear();
     world.holding.loading = cassiahoist_world::holding::RecordLoading::default();
 }
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -165,3 +165,21 @@
     }
     panic!("no answer before the deadline");
 }
+
+/// Callers cancel jobs that never arrive.
+#[test]
+fn cancellations_of_unknown_jobs_are_bounded() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let from: PeerSender =
+        PeerSender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    for id in 0..6_000 {
+        let message = PeerMessage::JobCancelled(JobId(id));
+        holder.app.push_event(Event::PeerMessageReceived { from: from.clone(), message });
+    }
+    holder.tick(1);
+    assert_eq!(holder.app.world().jobs.early_cancellations.len(), 4_096);
+    holder.tick(25_000);
+    holder
+        .receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(9_999)) });
+    assert_eq!(holder.app.world().jobs.early_cancellations.len(), 1);
+}
--- a/crates/cassiahoist_standins/tests/systems/recording.rs
+++ b/crates/cassiahoist_standins/tests/systems/recording.rs
@@ -79,3 +79,25 @@
     assert!(recorded_after_ms(1) <= 40, "the caller is answered only after the record");
     assert!(recorded_after_ms(2) > 40);
 }
+
+/// The answer to a progress write arrives after this daemon lost the slice and claimed it again.
+///
+/// It must not count for a write of the new holding, whose progress is not stored yet.
+#[test]
+fn late_answer_of_an_earlier_holding_records_nothing() {
+    let mut holder = TestDaemon::with_running_tasks(1, 1);
+    holder.tick(50);
+    holder.report_lists(0, ended_lists(vec![end(1, &task_name(1, 0, 0), 1, RunEnding::Done)]));
+    let early = holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_)));
+    let world = holder.app.world_mut();
+    world.store_writes.clear();
+    let job = world.jobs.find(&JobId(1)).unwrap();
+    world.jobs.unrecorded_jobs.insert(job);
+    holder.tick(200);
+    let present = holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_)));
+    assert_ne!(early[0].purpose, present[0].purpose);
+    holder.answer_store(early[0].clone(), Ok(StoreReply::Committed { revision: 60 }));
+    assert_eq!(holder.app.world().jobs.get(job).unwrap().recorded_state, JobState::Queued);
+    holder.answer_store(present[0].clone(), Ok(StoreReply::Committed { revision: 61 }));
+    assert_eq!(holder.app.world().jobs.get(job).unwrap().recorded_state, JobState::Completed);
+}
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -1,5 +1,7 @@
 //! HTTP server for callers' requests.
 
+use std::time::Duration;
+
 use std::convert::Infallible;
 
 use bytes::Bytes;
@@ -19,6 +21,9 @@
 use crate::control_link::ControlLink;
 use crate::protocol::{CallerProtocol, FullResponse};
 
+/// Pause after a connection could not be accepted, as when no descriptor is free.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Timeout of calls that state none, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 3_000;
 
@@ -51,7 +56,10 @@
                 accepted = listener.accept() => accepted,
                 _ = stop.wait_for(|&stop| stop) => break,
             };
-            let Ok((stream, _)) = accepted else { continue };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
             // Nagle's algorithm would delay small answers.
             let _unsupported = stream.set_nodelay(true);
             let server = self.clone();
--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Response;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use tokio::net::TcpStream;
@@ -23,6 +23,11 @@
 /// Default limit of open connections to one address, idle ones included.
 const DEFAULT_MAX_CONNECTIONS: usize = 32;
 
+/// Size of a connection's read buffer, in bytes.
+///
+/// A holder keeps thousands of connections, and most responses are smaller. Larger ones take several reads.
+const READ_BUFFER_BYTES: usize = 2_048;
+
 /// Smallest number of addresses at which unused pools are removed.
 const MIN_PRUNE_LEN: usize = 256;
 
@@ -165,7 +170,9 @@
     let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = timeout_at(connect_deadline, TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    let mut builder = Builder::new();
+    builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
     drop(tokio::spawn(connection));
     Some(sender)
 }
--- a/crates/cassiahoist_traffic/src/operator_server.rs
+++ b/crates/cassiahoist_traffic/src/operator_server.rs
@@ -2,6 +2,8 @@
 //!
 //! Serves readiness, metrics, the status, the state dump, explanations of jobs and the declarations.
 
+use std::time::Duration;
+
 use std::convert::Infallible;
 
 use cassiahoist_declarations::validate_declarations;
@@ -18,6 +20,9 @@
 use crate::declarations::{DECLARATIONS_PATH, VersionedDeclarations, put_response};
 use crate::protocol::FullResponse;
 
+/// Pause after a connection could not be accepted, as when no descriptor is free.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Largest declarations that are accepted, in bytes; 50 exceptions with long reasons fit.
 const MAX_DECLARATIONS_BYTES: usize = 128 * 1_024;
 
@@ -36,7 +41,10 @@
     /// Serves pages until the process ends.
     pub async fn serve(self, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
             let server = self.clone();
             let service = service_fn(move |request| {
                 let server = server.clone();
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -217,6 +217,14 @@
         }
     }
 
+    /// Returns whether a call was issued under this daemon's present claim.
+    ///
+    /// Answers to earlier calls may be late ones of an earlier holding, whose tables were cleared.
+    #[must_use]
+    pub fn is_since_claim(&self, issued_at_ms: u64) -> bool {
+        self.claim_won_at_ms().is_some_and(|won_at_ms| issued_at_ms >= won_at_ms)
+    }
+
     /// Returns whether this daemon won the claim and still loads records.
     #[must_use]
     pub fn is_adopting(&self) -> bool {
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::SlotMap;
 
 use crate::advice::StepAdvice;
@@ -23,7 +23,7 @@
     pub state: JobState,
     /// State in the latest progress record written to the store. Callers see no newer final state.
     pub recorded_state: JobState,
-    /// Rows of its steps, ordered by occurrence and index. Empty if the job was final when it was loaded.
+    /// Rows of its steps, ordered by occurrence and index. Empty once the final state is recorded.
     pub steps: Vec<StepKey>,
     /// Whether an earlier holder knew the job. Then hosts that are not yet adopted may run its tasks.
     pub inherited: bool,
@@ -133,8 +133,8 @@
     pub blocked: FxHashSet<StepKey>,
     /// Jobs whose progress changed since it was last written to the store.
     pub unrecorded_jobs: FxHashSet<JobKey>,
-    /// Jobs whose cancellation arrived before the job itself.
-    pub early_cancellations: FxHashSet<JobId>,
+    /// Jobs whose cancellation arrived before the job itself, with the time in monotonic milliseconds.
+    pub early_cancellations: FxHashMap<JobId, u64>,
 }
 
 /// Gives read access to the rows; changes go through the methods of the table.
@@ -154,9 +154,15 @@
 
     /// Removes a job with its steps and tasks.
     pub fn remove(&mut self, key: JobKey) {
-        let Some(job) = self.rows.remove(key) else { return };
+        self.remove_steps(key);
+        self.rows.remove(key);
         self.unrecorded_jobs.remove(&key);
-        for step_key in job.steps {
+    }
+
+    /// Removes the steps and tasks of a job; the job itself stays, so that its state is known.
+    pub fn remove_steps(&mut self, key: JobKey) {
+        let Some(job) = self.rows.get_mut(key) else { return };
+        for step_key in std::mem::take(&mut job.steps) {
             self.ready.remove(&step_key);
             self.blocked.remove(&step_key);
             if let Some(step) = self.steps.remove(step_key) {
--- a/crates/cassiahoist_world/src/start_window.rs
+++ b/crates/cassiahoist_world/src/start_window.rs
@@ -38,13 +38,13 @@
 
     /// Returns how many more start orders may be issued now.
     #[must_use]
-    pub fn available(&self) -> u32 {
+    pub fn available(self) -> u32 {
         self.limit.saturating_sub(self.open)
     }
 
     /// Returns whether the limit can't be reduced further.
     #[must_use]
-    pub fn is_at_minimum(&self) -> bool {
+    pub fn is_at_minimum(self) -> bool {
         self.limit <= MIN_OPEN_STARTS
     }
 
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -31,6 +31,8 @@
     /// Flush in progress; `None` between two flushes.
     pub flush: Option<Flush>,
     /// Number of the latest commit; 0 before the first.
+    ///
+    /// It never restarts, so that a late answer to a commit of an earlier holding matches no other.
     pub last_commit_number: u64,
     /// When the next flush may begin, in monotonic milliseconds.
     pub next_flush_at_ms: u64,
@@ -53,3 +55,10 @@
     /// Store revision of the roster; 0 if none is stored.
     pub roster_revision: u64,
 }
+
+impl StoreWriteTable {
+    /// Forgets the writes of a holding that ended.
+    pub fn clear(&mut self) {
+        *self = Self { last_commit_number: self.last_commit_number, ..Self::default() };
+    }
+}
