Send no order whose time has passed

Cause, from reading for the misfortunes of others: timers stand still while a process is suspended, so an order issued before a suspension left after it, when another daemon could hold the slice; a restarted host knows no fence. Change: just before an order is written its issue time is compared with the clock that counts suspended time.

--- a/crates/cassiahoist_traffic/src/host_client.rs
+++ b/crates/cassiahoist_traffic/src/host_client.rs
@@ -38,7 +38,7 @@
     pub fn send(&self, order: HostOrder, issued_at_ms: u64) {
         let client = self.clone();
         drop(tokio::spawn(async move {
-            let reply = client.exchange(&order).await;
+            let reply = client.exchange(&order, issued_at_ms).await;
             let completion = OrderCompletion {
                 order,
                 issued_at_ms,
@@ -50,13 +50,17 @@
         }));
     }
 
-    async fn exchange(&self, order: &HostOrder) -> HostReply {
+    /// Sends an order unless its time has passed.
+    ///
+    /// After a suspension of the process another daemon may hold the slice, and a restarted host would not know its fence.
+    async fn exchange(&self, order: &HostOrder, issued_at_ms: u64) -> HostReply {
         let without_reply = |outcome| HostReply { clock_ms: None, outcome };
         let Ok(request) = self.protocol.encode_order(order) else {
             return without_reply(OrderOutcome::NotSent);
         };
         let timeout = Duration::from_millis(order.timeout_ms);
-        match self.http.exchange(&order.address, request, timeout).await {
+        let is_timely = || self.clock.now_ms() <= issued_at_ms + order.timeout_ms;
+        match self.http.exchange_if(&order.address, request, timeout, is_timely).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(order, response.status().as_u16(), response.body())
             }
--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -117,6 +117,19 @@
     ///
     /// `timeout` covers the wait for a connection, its opening and the response.
     pub async fn exchange(&self, address: &str, request: FullRequest, timeout: Duration) -> Exchange {
+        self.exchange_if(address, request, timeout, || true).await
+    }
+
+    /// Like [`Self::exchange`], but sends the request only if `may_send` returns true just before.
+    ///
+    /// Timers do not advance while the process is suspended, so `timeout` alone lets a request leave late.
+    pub async fn exchange_if(
+        &self,
+        address: &str,
+        request: FullRequest,
+        timeout: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Exchange {
         let deadline = Instant::now() + timeout;
         let pool = self.get_or_create_pool(address);
         let Ok(Ok(_permit)) = timeout_at(deadline, pool.permits.acquire()).await else {
@@ -127,6 +140,14 @@
             None => connect(address, deadline).await,
         };
         let Some(mut connection) = connected else { return Exchange::NotSent };
+        let is_ready = timeout_at(deadline, connection.ready()).await;
+        if !matches!(is_ready, Ok(Ok(()))) {
+            return Exchange::NotSent;
+        }
+        if !may_send() {
+            pool.lock_idle().push(connection);
+            return Exchange::NotSent;
+        }
         match timeout_at(deadline, exchange_on(&mut connection, request)).await {
             Ok(Ok(response)) => {
                 pool.lock_idle().push(connection);
@@ -160,7 +181,6 @@
 }
 
 async fn exchange_on(connection: &mut Connection, request: FullRequest) -> hyper::Result<Response<Bytes>> {
-    connection.ready().await?;
     let (parts, body) = connection.send_request(request).await?.into_parts();
     let bytes = body.collect().await?.to_bytes();
     Ok(Response::from_parts(parts, bytes))
--- a/crates/cassiahoist_traffic/tests/http_client.rs
+++ b/crates/cassiahoist_traffic/tests/http_client.rs
@@ -1,4 +1,4 @@
-//! Tests the connection limit of the HTTP client over loopback.
+//! Tests the connection limit of the HTTP client over loopback, and requests whose time has passed.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -68,3 +68,32 @@
     assert!(matches!(second, Exchange::NotSent));
     assert!(matches!(first.await.unwrap(), Exchange::Response(_)));
 }
+
+/// The process was suspended after an order was issued, and its timers did not advance meanwhile.
+///
+/// Another daemon may hold the slice now, so the order must not leave.
+#[tokio::test]
+async fn request_whose_time_has_passed_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let answered = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&answered);
+    drop(tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let count = Arc::clone(&count);
+            let service = service_fn(move |_request| {
+                count.fetch_add(1, Ordering::Relaxed);
+                async { Ok::<_, Infallible>(text_response(200, "text/plain", String::new())) }
+            });
+            let connection =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            drop(tokio::spawn(connection));
+        }
+    }));
+    let client = HttpClient::new();
+    let late = client.exchange_if(&address, request(), Duration::from_secs(10), || false).await;
+    assert!(matches!(late, Exchange::NotSent));
+    let timely = client.exchange_if(&address, request(), Duration::from_secs(10), || true).await;
+    assert!(matches!(timely, Exchange::Response(_)));
+    assert_eq!(answered.load(Ordering::Relaxed), 1);
+}
