Keep the runs of hosts that seem silent together, and adopt hosts a few at a time

Cause: on a full link of the holder many hosts seem silent, and after 1.2 s their leases were no longer renewed, so that running work was given up although nothing was wrong with the hosts. A new holder polled its whole roster at once; on a slow link or processor all answers came after their timeouts. Change: if a quarter of the hosts with runs is silent at a time, their leases are renewed as before; open polls of hosts not adopted yet keep to the limit of open starts. The simulation gets slow links of the holder, drawn for the workload with copies. Trial, not kept: longer timeouts of polls of silent hosts.

--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -38,9 +38,14 @@
 
 /// Unresponsive time after which polls no longer renew a host's lease, in milliseconds.
 ///
-/// Its runs then end soon.
+/// Its runs then end soon. It does not apply while the silence is the holder's own fault.
 const RENEWAL_CUTOFF_MS: u64 = 1_200;
 
+/// Share of the hosts with runs from which their silence is taken for the holder's own slowness, in percent.
+///
+/// Their runs would all be given up otherwise, although only the holder's link or processor is at fault.
+const OWN_FAULT_PERCENT: usize = 25;
+
 /// Decision about the next poll of one host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PollDecision {
@@ -81,8 +86,16 @@
         (false, false) => POLL_WAIT_MS,
     };
     let slack_ms = POLL_SLACK_MS + world.holding.answer_times.latency_allowance_ms();
+    let mut adoption_polls = count_open_adoption_polls(world);
+    let renews_silent_hosts = is_silence_own_fault(world);
     for key in world.hosts.engaged_keys() {
+        let max_adoption_polls = world.runs.start_window.limit() as usize;
         let Some(host) = world.hosts.get_mut(key) else { continue };
+        let is_adoption_poll = host.adoption == Adoption::Unknown;
+        if is_adoption_poll && adoption_polls >= max_adoption_polls {
+            // The answer to one of the open polls begins another round.
+            continue;
+        }
         let wait_ms = match decide_poll(host, wait_ms, now_ms) {
             PollDecision::Skip => continue,
             PollDecision::WaitUntil(at_ms) => {
@@ -92,8 +105,9 @@
             PollDecision::Send(wait_ms) => wait_ms,
         };
         host.poll.sent_ms = Some(now_ms);
+        adoption_polls += usize::from(is_adoption_poll);
         let unresponsive_ms = host.unresponsive_since_ms.map_or(0, |since_ms| now_ms - since_ms);
-        let renews_lease = host.clock_known && unresponsive_ms < RENEWAL_CUTOFF_MS;
+        let renews_lease = host.clock_known && (unresponsive_ms < RENEWAL_CUTOFF_MS || renews_silent_hosts);
         let lease_until_ms = renews_lease.then(|| host.clock_ms(now_ms) + lease_ms);
         if renews_lease && !host.runs.is_empty() {
             let lease_end_ms = now_ms + world.local.bounds.max_run_lease_ms();
@@ -106,6 +120,25 @@
     }
 }
 
+/// Returns whether so many hosts are unresponsive that the holder itself must be too slow.
+fn is_silence_own_fault(world: &World) -> bool {
+    let occupied = world.hosts.iter_engaged().filter(|(_, host)| !host.runs.is_empty());
+    let (mut occupied_count, mut silent_count) = (0, 0);
+    for (_, host) in occupied {
+        occupied_count += 1;
+        silent_count += usize::from(host.unresponsive_since_ms.is_some());
+    }
+    silent_count > 1 && silent_count * 100 >= occupied_count * OWN_FAULT_PERCENT
+}
+
+/// Counts the open polls of hosts that have not reported their runs to this holder yet.
+///
+/// A new holder polls the whole roster, and more answers at a time than it can read would all be late.
+fn count_open_adoption_polls(world: &World) -> usize {
+    let hosts = world.hosts.iter_engaged().map(|(_, host)| host);
+    hosts.filter(|host| host.adoption == Adoption::Unknown && host.poll.sent_ms.is_some()).count()
+}
+
 /// Schedules the next poll after one was answered or failed.
 pub(crate) fn schedule_poll(host: &mut Host, answered: bool, now_ms: u64) {
     host.poll.sent_ms = None;
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod calls;
 mod faults;
+mod link;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -25,7 +26,8 @@
 pub use callers::Callers;
 pub use faults::{Fault, StoreHealth};
 
-use faults::{draw_faults, draw_planned_changes};
+use faults::{draw_faults, draw_planned_changes, draw_slow_links};
+use link::Link;
 
 use crate::invariants::{Invariant, Scope, Violation, find_violations};
 use crate::platform::{StandInPlatform, TIME_ZERO_UNIX_MS};
@@ -85,6 +87,9 @@
             scenario.hosts = VARIED_HOSTS;
             draw_planned_changes(&mut scenario, &mut rng);
         }
+        if workload == Workload::Copies {
+            draw_slow_links(&mut scenario, &mut rng);
+        }
         scenario
     }
 }
@@ -104,6 +109,8 @@
     pub restart_at_ms: Option<u64>,
     /// Time until which it can't reach the store, in milliseconds.
     pub store_unreachable_until_ms: u64,
+    /// Link on which its orders leave.
+    pub link: Link,
     /// Number of ticks of all its incarnations.
     pub tick_count: u64,
     /// Real time that its ticks have taken, in all incarnations.
@@ -373,6 +380,7 @@
         paused_until_ms: 0,
         restart_at_ms: None,
         store_unreachable_until_ms: 0,
+        link: Link::default(),
         tick_count: 0,
         tick_time: Duration::ZERO,
         last_tick_ms: 0,
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -151,8 +151,11 @@
             let report_at_ms = deadline_ms.min(self.now_ms + CONNECT_TIMEOUT_MS);
             return self.send_order_outcome(open_call, OrderOutcome::NotSent, None, report_at_ms);
         }
-        let delay_ms = if late { self.rng.random_range(2_000..8_000) } else { 0 };
-        self.open_call(open_call, delay_ms);
+        let late_ms = if late { self.rng.random_range(2_000..8_000) } else { 0 };
+        match self.daemons[daemon].link.queue_order(self.now_ms) {
+            Some(queued_ms) => self.open_call(open_call, late_ms + queued_ms),
+            None => self.send_order_outcome(open_call, OrderOutcome::Unknown, None, deadline_ms),
+        }
     }
 
     fn send_order_outcome(
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -47,6 +47,11 @@
     CutHolderFromStore(u64),
     /// Cuts a daemon off from the store for a time.
     CutDaemonFromStore(usize, u64),
+    /// Slows down the link of the holder's machine.
+    ///
+    /// The first number is the duration, the second the time that each order to a host takes on the link. Orders wait
+    /// for earlier ones, and still reach their hosts after their timeouts.
+    SlowHolderLink(u64, u64),
     /// Asks the holder to stop, as a planned shutdown does.
     StopHolder,
     /// Changes the misbehaviour of the store.
@@ -95,6 +100,7 @@
             | Fault::KillAllDaemons(for_ms)
             | Fault::PauseHolder(for_ms)
             | Fault::CutHolderFromStore(for_ms)
+            | Fault::SlowHolderLink(for_ms, _)
             | Fault::CutDaemonFromStore(_, for_ms)
             | Fault::MakeHostUnreachable(_, for_ms) => *for_ms,
             Fault::SetStoreHealth(health) if *health == StoreHealth::default() => {
@@ -172,6 +178,11 @@
                     self.daemons[holder].store_unreachable_until_ms = now_ms + for_ms;
                 }
             }
+            Fault::SlowHolderLink(for_ms, order_ms) => {
+                if let Some(holder) = self.holder() {
+                    self.daemons[holder].link.slow_down(now_ms + for_ms, order_ms);
+                }
+            }
             Fault::CutDaemonFromStore(daemon, for_ms) => {
                 let daemon = daemon % self.daemons.len();
                 self.daemons[daemon].store_unreachable_until_ms = now_ms + for_ms;
@@ -232,6 +243,14 @@
     }
 }
 
+/// Draws up to two slow-downs of the holder's link.
+pub(super) fn draw_slow_links(scenario: &mut Scenario, rng: &mut SmallRng) {
+    for _ in 0..rng.random_range(0..=2) {
+        let fault = Fault::SlowHolderLink(rng.random_range(1_000..8_000), rng.random_range(10..150));
+        scenario.faults.push((rng.random_range(4_000..14_000), fault));
+    }
+}
+
 /// Replaces drawn configuration writes and drains by planned ones.
 ///
 /// These write increasing versions and drain one host.
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -277,6 +277,23 @@
     }
 }
 
+/// The holder's link takes 100 ms and more for each order, and the holder is replaced meanwhile.
+///
+/// A new holder on such a link polls every host of the roster; answers come, but late.
+#[test]
+fn slow_link_of_the_holder_loses_no_job() {
+    for (seed, order_ms) in [(31, 60), (32, 100), (33, 140)] {
+        run_scenario(
+            seed,
+            vec![
+                (7_000, Fault::SlowHolderLink(6_000, order_ms)),
+                (8_000, Fault::KillHolder(900)),
+                (9_600, Fault::SlowHolderLink(5_000, order_ms)),
+            ],
+        );
+    }
+}
+
 #[test]
 fn formerly_failing_seeds_pass() {
     // Faults that these seeds once found:
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -254,3 +254,33 @@
     holder.report_lists_at(0, running_lists(Vec::new()), earlier_clock_ms);
     assert_eq!(holder.app.world().hosts.get(host).unwrap().orphans.count, 1);
 }
+
+/// Returns whether the next polls of silent hosts renew their leases, with so many of eight hosts silent for 1.5 s.
+fn silent_hosts_keep_their_leases(silent_hosts: u64) -> bool {
+    let mut holder = TestDaemon::with_running_tasks(8, 64);
+    let now_ms = holder.now_ms;
+    let silent: Vec<_> = (0..silent_hosts).map(|number| holder.host(number)).collect();
+    let world = holder.app.world_mut();
+    for key in world.hosts.engaged_keys() {
+        let host = world.hosts.get_mut(key).unwrap();
+        host.poll = cassiahoist_world::hosts::Poll { sent_ms: None, next_ms: now_ms };
+        host.unresponsive_since_ms = silent.contains(&key).then_some(now_ms - 1_500);
+    }
+    holder.tick(1);
+    let name = host_entry(0).name;
+    let poll = holder.orders().find(|order| order.host_name == name).unwrap();
+    matches!(poll.order, Order::Poll { lease_until_ms: Some(_), .. })
+}
+
+/// Half of the hosts seem silent at a time, since the holder's link is full.
+///
+/// Their runs go on, so their leases are renewed as long as orders reach them.
+#[test]
+fn many_silent_hosts_keep_their_leases() {
+    assert!(silent_hosts_keep_their_leases(4));
+}
+
+#[test]
+fn single_silent_host_is_left_to_its_lease() {
+    assert!(!silent_hosts_keep_their_leases(1));
+}
--- a/crates/cassiahoist_world/src/start_window.rs
+++ b/crates/cassiahoist_world/src/start_window.rs
@@ -36,6 +36,12 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Returns how many orders the holder's link and processor bear at a time.
+    #[must_use]
+    pub fn limit(self) -> u32 {
+        self.limit
+    }
+
     /// Returns how many more start orders may be issued now.
     #[must_use]
     pub fn available(self) -> u32 {
