--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -7,9 +7,7 @@
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::store::{StorePurpose, StoreReply};
 
-use crate::support::{
-    FENCE, TestDaemon, end, ended_lists, host_entry, running, running_lists, step, task_name,
-};
+use crate::support::{TestDaemon, end, ended_lists, host_entry, running, running_lists, step, task_name};
 
 #[test]
 fn failed_run_counts_once_after_adopting_a_later_run() {
