--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -288,7 +288,7 @@
         host.poll.next_ms = host.poll.next_ms.min(now_ms);
     }
     world.counters.starts += 1;
-    world.runs.start_window.open();
+    world.runs.start_window.count_issued();
     world.counters.start_ms.record(now_ms.saturating_sub(ready_since_ms));
     let log_record = LogRecord::new(EventId::TaskStarted).with("task", name).with("run", run_number);
     world.log(log_record.with("host", host_name).with("waited_ms", now_ms.saturating_sub(ready_since_ms)));
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -53,7 +53,7 @@
 fn apply_answer(world: &mut World, completion: OrderCompletion, now_ms: u64) {
     match completion.order.order {
         Order::Start { run, .. } => {
-            world.runs.start_window.close();
+            world.runs.start_window.count_answered();
             apply_start_answer(world, run, &completion.outcome, now_ms);
         }
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
--- a/crates/cassiahoist_world/src/start_window.rs
+++ b/crates/cassiahoist_world/src/start_window.rs
@@ -27,12 +27,12 @@
 
 impl StartWindow {
     /// Counts a start order that was issued.
-    pub fn open(&mut self) {
+    pub fn count_issued(&mut self) {
         self.open += 1;
     }
 
     /// Counts a start order that was answered or timed out.
-    pub fn close(&mut self) {
+    pub fn count_answered(&mut self) {
         self.open = self.open.saturating_sub(1);
     }
 
