--- a/crates/cassiahoist_placement/src/requirements.rs
+++ b/crates/cassiahoist_placement/src/requirements.rs
@@ -94,7 +94,7 @@
     }
 
     /// Returns how many more tasks the maximum per host allows; `u32::MAX` without one.
-    pub fn remaining_on_host(&self, host: &Host) -> u32 {
+    fn remaining_on_host(&self, host: &Host) -> u32 {
         self.max_per_host
             .map_or(u32::MAX, |maximum| maximum.saturating_sub(host.count_tasks_of(self.step, self.runs)))
     }
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -61,7 +61,7 @@
         Order::Poll { .. } => {
             let host = completion.order.host;
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
-                && is_latest_list(world, host, completion.host_clock_ms)
+                && accept_lists_in_order(world, host, completion.host_clock_ms)
             {
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
@@ -72,10 +72,10 @@
     }
 }
 
-/// Returns whether no later lists of the host were applied, and remembers the time of these.
+/// Records the time of a host's lists, and returns whether no later ones were applied before.
 ///
 /// Answers on different connections overtake each other, and older lists miss runs that started since.
-fn is_latest_list(world: &mut World, host: HostKey, host_clock_ms: Option<u64>) -> bool {
+fn accept_lists_in_order(world: &mut World, host: HostKey, host_clock_ms: Option<u64>) -> bool {
     let Some(host) = world.hosts.get_mut(host) else { return false };
     let Some(clock_ms) = host_clock_ms else { return true };
     let is_latest = clock_ms >= host.lists_clock_ms;
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -86,10 +86,10 @@
         (false, false) => POLL_WAIT_MS,
     };
     let slack_ms = POLL_SLACK_MS + world.holding.answer_times.latency_allowance_ms();
+    let max_adoption_polls = world.runs.start_window.limit() as usize;
     let mut adoption_polls = count_open_adoption_polls(world);
     let renews_silent_hosts = is_silence_own_fault(world);
     for key in world.hosts.engaged_keys() {
-        let max_adoption_polls = world.runs.start_window.limit() as usize;
         let Some(host) = world.hosts.get_mut(key) else { continue };
         let is_adoption_poll = awaits_first_adoption_poll(host);
         if is_adoption_poll && adoption_polls >= max_adoption_polls {
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -22,7 +22,7 @@
 use crate::protocol::{CallerProtocol, FullResponse};
 
 /// Pause after a connection could not be accepted, as when no descriptor is free.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Timeout of calls that state none, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 3_000;
--- a/crates/cassiahoist_traffic/src/operator_server.rs
+++ b/crates/cassiahoist_traffic/src/operator_server.rs
@@ -2,8 +2,6 @@
 //!
 //! Serves readiness, metrics, the status, the state dump, explanations of jobs and the declarations.
 
-use std::time::Duration;
-
 use std::convert::Infallible;
 
 use cassiahoist_declarations::validate_declarations;
@@ -20,9 +18,6 @@
 use crate::declarations::{DECLARATIONS_PATH, VersionedDeclarations, put_response};
 use crate::protocol::FullResponse;
 
-/// Pause after a connection could not be accepted, as when no descriptor is free.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Largest declarations that are accepted, in bytes; 50 exceptions with long reasons fit.
 const MAX_DECLARATIONS_BYTES: usize = 128 * 1_024;
 
@@ -42,7 +37,7 @@
     pub async fn serve(self, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                tokio::time::sleep(crate::caller_server::ACCEPT_RETRY_DELAY).await;
                 continue;
             };
             let server = self.clone();
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -43,8 +43,7 @@
 pub enum Adoption {
     /// The host has not reported all its runs and gets no new work.
     ///
-    /// A new row starts in this state. A host returns to it on a restart, at the end of its run lease, and when
-    /// runs of it count as ended before that because it is unresponsive.
+    /// A new row starts in this state. A host returns to it on a restart and at the end of its run lease.
     Unknown,
     /// The host reported what it runs; its rows are complete.
     Adopted,
