Bound the work of a round of advice however many steps wait

Cause: each round of request_advice went over all engaged hosts for each ready step without an open call, each 4 ms, however many waited. Answers seemed slow, the start window shrank to 8, fewer tasks started, and the backlog grew. Its successors met the same backlog.

Ruled out: link (starts few), store (quick), adoption (0.35 s).

Change: a round selects hosts for 16 steps at most, the most urgent first; a step that needs no call is put off for longer the more steps wait. Hosts that accept work are copied once a round, by pool, so that selections compare no names. Demands for hosts are looked at 32 steps a round, in turns. A full start window ends placement before the steps are sorted; steps without approved hosts are passed over early; checks of leases and gangs visit only what needs them.

Evidence: rounds_of_advice_stay_short_however_many_steps_wait fails before (600 of 600 steps in one round).

--- a/crates/cassiahoist_hosts/src/engage.rs
+++ b/crates/cassiahoist_hosts/src/engage.rs
@@ -33,6 +33,11 @@
 /// The step may then lack eligible hosts.
 const LONG_WAIT_MS: u64 = 200;
 
+/// Maximum number of waiting steps that a round looks at; the next round goes on with others.
+///
+/// A step whose demand is not met takes a look at all engaged hosts.
+const MAX_STEPS_PER_ROUND: usize = 32;
+
 /// Interval between rounds of engaging hosts, in milliseconds.
 const ENGAGE_INTERVAL_MS: u64 = 100;
 
@@ -65,7 +70,9 @@
     for (_, host) in world.hosts.iter_engaged().filter(|(_, host)| is_mostly_free(host)) {
         *free_by_pool.entry(host.entry.pool.clone()).or_default() += 1;
     }
-    let demands = list_demands(world, now_ms);
+    let first_step = world.hosts.next_demand_step;
+    world.hosts.next_demand_step = first_step + MAX_STEPS_PER_ROUND;
+    let demands = list_demands(world, first_step, now_ms);
     let mut chosen_hosts: Vec<HostKey> = Vec::new();
     let mut chosen_by_pool: FxHashMap<&PoolName, usize> = FxHashMap::default();
     for (key, host) in world.hosts.iter().filter(|(key, _)| !world.hosts.is_engaged(*key)) {
@@ -101,8 +108,13 @@
         && host.unresponsive_since_ms.is_none()
 }
 
-fn list_demands(world: &World, now_ms: u64) -> Vec<HostDemand<'_>> {
-    let ready_steps = world.jobs.ready.iter().filter_map(|key| world.jobs.steps.get(*key));
+/// Lists the demands of some of the ready steps, in turns: those from the position `first_step` on.
+fn list_demands(world: &World, first_step: usize, now_ms: u64) -> Vec<HostDemand<'_>> {
+    let ready_count = world.jobs.ready.len();
+    let skipped_count = if ready_count > MAX_STEPS_PER_ROUND { first_step % ready_count } else { 0 };
+    let in_turn =
+        world.jobs.ready.iter().cycle().skip(skipped_count).take(ready_count.min(MAX_STEPS_PER_ROUND));
+    let ready_steps = in_turn.filter_map(|key| world.jobs.steps.get(*key));
     let waiting_steps = ready_steps.filter(|step| !step.pending_tasks.is_empty());
     waiting_steps.filter_map(|step| demand_of(world, step, now_ms)).collect()
 }
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -8,30 +8,18 @@
 use cassiahoist_world::advice::{AdviceAnswer, AdviceCall, OpenAdviceCall, Ticket};
 use cassiahoist_world::config::AdviceCost;
 use cassiahoist_world::hosts::HostKey;
-use cassiahoist_world::jobs::{Step, StepKey};
+use cassiahoist_world::jobs::StepKey;
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
 use rustc_hash::FxHashMap;
 
 use crate::order::ready_steps_by_rank;
-use crate::place::valid_ticket;
-use crate::requirements::{StepPolicy, StepRequirements};
-
-/// Maximum number of hosts in one call.
-const MAX_HOSTS_PER_CALL: usize = 100;
-
-/// Minimum number of hosts in one call, if that many are eligible.
-const MIN_HOSTS_PER_CALL: usize = 16;
-
-/// Free capacity to request advice for, as a multiple of the pending tasks.
-///
-/// Other tasks take resources before the answer arrives.
-const FREE_CAPACITY_FACTOR: f64 = 3.0;
+use crate::selectable::SelectableHosts;
 
 /// Assumed share of queried hosts that the service approves.
 ///
 /// It applies until a queue's own share is known.
-const INITIAL_APPROVED_SHARE: f64 = 0.4;
+pub(crate) const INITIAL_APPROVED_SHARE: f64 = 0.4;
 
 /// Weight of a new answer in a queue's mean share of approved hosts.
 const APPROVED_SHARE_WEIGHT: f64 = 0.1;
@@ -61,9 +49,20 @@
 /// Delay before a step that needs no call now is looked at again, in milliseconds.
 const RECHECK_DELAY_MS: u64 = 40;
 
+/// Delay of that look for each ready step, in milliseconds.
+///
+/// It keeps the looks of one second within what the rounds of that second can do, however many steps wait.
+const RECHECK_DELAY_PER_STEP_MS: u64 = 1;
+
 /// Minimum time between rounds of requests, in milliseconds.
 const MIN_ROUND_INTERVAL_MS: u64 = 4;
 
+/// Maximum number of steps that a round selects hosts for.
+///
+/// Each selection goes over the hosts of a pool. Without a bound, a backlog of steps would make the holder's ticks so long
+/// that it starts ever less, and the backlog would grow further.
+const MAX_SELECTIONS_PER_ROUND: u32 = 16;
+
 /// Forwards the holder's calls for advice to the service.
 ///
 /// The answers are sent back to the holder.
@@ -196,6 +195,11 @@
     }
     world.advice.next_request_at_ms = now_ms + MIN_ROUND_INTERVAL_MS;
     let mut in_flight = CallsInFlight::count(world, now_ms);
+    let mut free_member = None;
+    let mut selectable_hosts = None;
+    let mut remaining_selections = MAX_SELECTIONS_PER_ROUND;
+    let recheck_at_ms =
+        now_ms + RECHECK_DELAY_MS.max(world.jobs.ready.len() as u64 * RECHECK_DELAY_PER_STEP_MS);
     for key in ready_steps_by_rank(world) {
         let Some(step) = world.jobs.steps.get(key) else { continue };
         let Some(cost) = world.jobs.get(step.job).and_then(|job| job.record.policy.advice) else { continue };
@@ -207,14 +211,23 @@
             world.wake_by(next_call_at_ms);
             continue;
         }
-        let Some(member) = next_free_member(world, &in_flight, now_ms) else { return };
-        let hosts =
-            world.jobs.steps.get(key).map(|step| select_hosts(world, step, now_ms)).unwrap_or_default();
+        if remaining_selections == 0 {
+            return world.wake_by(world.advice.next_request_at_ms);
+        }
+        remaining_selections -= 1;
+        let Some(member) = free_member.take().or_else(|| next_free_member(world, &in_flight, now_ms)) else {
+            return;
+        };
+        let selectable_hosts =
+            selectable_hosts.get_or_insert_with(|| SelectableHosts::collect(world, now_ms));
+        let hosts = world.jobs.steps.get(key).map(|step| selectable_hosts.select_for(world, step, now_ms));
+        let hosts = hosts.unwrap_or_default();
         if hosts.is_empty() {
+            free_member = Some(member);
             if let Some(step) = world.jobs.steps.get_mut(key) {
-                step.advice.next_call_at_ms = now_ms + RECHECK_DELAY_MS;
+                step.advice.next_call_at_ms = recheck_at_ms;
             }
-            world.wake_by(now_ms + RECHECK_DELAY_MS);
+            world.wake_by(recheck_at_ms);
         } else {
             in_flight.add(&member);
             send_call(world, key, cost, hosts, member, now_ms);
@@ -242,49 +255,6 @@
     Some(member)
 }
 
-/// Selects the hosts that a call asks about.
-///
-/// Hosts with an outdated ticket come first, since they were approved before, then those with the most free resources.
-/// Empty if hosts with a valid ticket have enough free resources already.
-fn select_hosts(world: &World, step: &Step, now_ms: u64) -> Vec<HostKey> {
-    let Some(policy) = StepPolicy::for_step(world, step) else { return Vec::new() };
-    let Some(requirements) = StepRequirements::new(world, step, &policy) else { return Vec::new() };
-    let queue = world.jobs.get(step.job).map(|job| &job.record.policy.queue);
-    let share = queue
-        .and_then(|queue| world.advice.approved_share.get(queue))
-        .copied()
-        .unwrap_or(INITIAL_APPROVED_SHARE);
-    let mut wanted_capacity = step.pending_tasks.len() as f64 * FREE_CAPACITY_FACTOR;
-    let mut candidates = Vec::new();
-    for (key, host) in world.hosts.iter_engaged() {
-        let is_startable = host.in_roster && host.accepts_new_runs(now_ms) && requirements.is_eligible(host);
-        if !is_startable || step.advice.rejected_hosts.contains(&key) {
-            continue;
-        }
-        let fitting_tasks = requirements.tasks_that_fit(host);
-        if valid_ticket(step, key, host, now_ms).is_some() {
-            wanted_capacity -= f64::from(fitting_tasks.min(step.pending_tasks.len() as u32));
-        } else if fitting_tasks > 0 {
-            candidates.push((!step.advice.approved_hosts.contains_key(&key), u32::MAX - fitting_tasks, key));
-        }
-    }
-    if wanted_capacity <= 0.0 {
-        return Vec::new();
-    }
-    candidates.sort_unstable();
-    let mut hosts = Vec::new();
-    for (is_unapproved, inverse_fit, key) in candidates {
-        if hosts.len() >= MAX_HOSTS_PER_CALL || (wanted_capacity <= 0.0 && hosts.len() >= MIN_HOSTS_PER_CALL)
-        {
-            break;
-        }
-        let fitting_tasks = f64::from((u32::MAX - inverse_fit).min(step.pending_tasks.len() as u32));
-        wanted_capacity -= if is_unapproved { fitting_tasks * share } else { fitting_tasks };
-        hosts.push(key);
-    }
-    hosts
-}
-
 fn send_call(
     world: &mut World,
     key: StepKey,
--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -6,6 +6,7 @@
 mod order;
 mod place;
 mod requirements;
+mod selectable;
 
 pub use choose::{Candidate, choose_candidate};
 
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -5,6 +5,7 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::Packing;
 use cassiahoist_runs::{may_start_inherited_jobs, reserve_run};
+use cassiahoist_world::advice::Ticket;
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::{Step, StepKey, Task, TaskKey, TaskState};
 use cassiahoist_world::orders::Order;
@@ -20,7 +21,7 @@
 const START_TIMEOUT_MS: u64 = 300;
 
 /// Time reserved to deliver a start order before its ticket expires, in milliseconds.
-pub(crate) const TICKET_MARGIN_MS: u64 = 60;
+const TICKET_MARGIN_MS: u64 = 60;
 
 /// Time for which a completed task shows that its host works, in milliseconds.
 ///
@@ -47,10 +48,13 @@
     }
     world.advice.next_round_at_ms = now_ms + MIN_ROUND_INTERVAL_MS;
     world.wake_by(now_ms + MAX_ROUND_INTERVAL_MS);
+    if world.runs.start_window.available() == 0 {
+        // The next answer to a start order begins another round.
+        return;
+    }
     let may_start_inherited_jobs = may_start_inherited_jobs(world, now_ms);
     for step in ready_steps_by_rank(world) {
         if world.runs.start_window.available() == 0 {
-            // The next answer to a start order begins another round.
             return;
         }
         if may_place(world, step, may_start_inherited_jobs) {
@@ -59,13 +63,14 @@
     }
 }
 
+/// Returns whether tasks of a step may start on some host, as far as its own row and its job show.
 fn may_place(world: &World, key: StepKey, may_start_inherited_jobs: bool) -> bool {
-    world
-        .jobs
-        .steps
-        .get(key)
-        .and_then(|step| world.jobs.get(step.job))
-        .is_some_and(|job| !job.state.is_final() && (may_start_inherited_jobs || !job.inherited))
+    world.jobs.steps.get(key).and_then(|step| Some((step, world.jobs.get(step.job)?))).is_some_and(
+        |(step, job)| {
+            let lacks_advice = job.record.policy.advice.is_some() && step.advice.approved_hosts.is_empty();
+            !lacks_advice && !job.state.is_final() && (may_start_inherited_jobs || !job.inherited)
+        },
+    )
 }
 
 fn place_step(world: &mut World, key: StepKey, now_ms: u64) {
@@ -202,9 +207,12 @@
     now_ms: u64,
 ) -> Option<&'s Arc<str>> {
     let ticket = step.advice.approved_hosts.get(&key)?;
-    let is_valid = now_ms + TICKET_MARGIN_MS < ticket.expires_at_ms
-        && ticket.host_started_unix_ms == host.entry.started_unix_ms;
-    is_valid.then_some(&ticket.text)
+    is_ticket_valid(ticket, host.entry.started_unix_ms, now_ms).then_some(&ticket.text)
+}
+
+/// Returns whether a ticket is valid for a start now on the incarnation of a host that started at a Unix time.
+pub(crate) fn is_ticket_valid(ticket: &Ticket, host_started_unix_ms: u64, now_ms: u64) -> bool {
+    now_ms + TICKET_MARGIN_MS < ticket.expires_at_ms && ticket.host_started_unix_ms == host_started_unix_ms
 }
 
 /// Returns whether the task failed before and its next failure fails its job.
--- a/crates/cassiahoist_placement/src/requirements.rs
+++ b/crates/cassiahoist_placement/src/requirements.rs
@@ -78,19 +78,27 @@
 
     /// Returns how many more tasks fit on a host, within the maximum per host.
     pub fn tasks_that_fit(&self, host: &Host) -> u32 {
-        let free = host.free_resources();
+        self.tasks_within(&host.free_resources()).min(self.remaining_on_host(host))
+    }
+
+    /// Returns whether more than its resources decides whether a host of the pool is eligible.
+    pub fn depends_on_host_rows(&self) -> bool {
+        self.max_per_host.is_some() || self.spec.required_label.is_some()
+    }
+
+    /// Returns how many tasks fit within free resources; `u32::MAX` for tasks that reserve nothing.
+    pub fn tasks_within(&self, free: &Resources) -> u32 {
         let dimensions = [
             (free.cpu_milli, self.reserved_resources.cpu_milli),
             (free.memory_mib, self.reserved_resources.memory_mib),
             (u64::from(free.accelerators), u64::from(self.reserved_resources.accelerators)),
         ];
-        let by_resources = dimensions
+        dimensions
             .iter()
             .filter(|(_, needed)| *needed > 0)
             .map(|(free, needed)| (free / needed).min(u64::from(u32::MAX)) as u32)
             .min()
-            .unwrap_or(u32::MAX);
-        by_resources.min(self.remaining_on_host(host))
+            .unwrap_or(u32::MAX)
     }
 
     /// Returns how many more tasks the maximum per host allows; `u32::MAX` without one.
--- a/crates/cassiahoist_runs/src/adopt.rs
+++ b/crates/cassiahoist_runs/src/adopt.rs
@@ -50,8 +50,8 @@
         .copied()
         .filter(|key| {
             world.jobs.steps.get(*key).is_some_and(|step| {
-                let gang = world.jobs.step_spec(step).is_some_and(|spec| spec.gang);
-                gang && step.pending_tasks.len() < step.tasks.len()
+                step.pending_tasks.len() < step.tasks.len()
+                    && world.jobs.step_spec(step).is_some_and(|spec| spec.gang)
             })
         })
         .collect();
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::hosts::{Adoption, HostKey, OrphanRuns, Poll};
+use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
@@ -21,7 +21,14 @@
     if !world.holding.is_holding() {
         return;
     }
-    for key in world.hosts.engaged_keys() {
+    let needs_check = |host: &Host| {
+        host.unresponsive_since_ms.is_some()
+            || host.missing_since_ms.is_some()
+            || host.draining_since_ms.is_some()
+    };
+    let checked_hosts = world.hosts.iter_engaged().filter(|(_, host)| needs_check(host));
+    let checked_hosts: Vec<HostKey> = checked_hosts.map(|(key, _)| key).collect();
+    for key in checked_hosts {
         let Some(host) = world.hosts.get(key) else { continue };
         if let Some(unresponsive_since_ms) = host.unresponsive_since_ms {
             let lease_expired = now_ms >= host.lease_end_ms;
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -1,5 +1,6 @@
 //! Tests of single systems on the tables of one daemon.
 
+mod backlog;
 mod calls;
 mod claims;
 mod declarations;
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -266,6 +266,8 @@
     engaged: BTreeSet<HostKey>,
     /// When to engage further hosts next, in monotonic milliseconds.
     pub next_engage_at_ms: u64,
+    /// Position, among the ready steps, of the one whose demand for hosts is looked at next; counts on without end.
+    pub next_demand_step: usize,
 }
 
 /// Gives read access to the rows; changes go through the methods of the table.
