Write log lines whole and say which are missing

Cause: the log thread wrote 100 ms of lines at once, up to 256 KiB. A collector cuts writes of more than 8 KiB, so lines were missing without a word, and thousands of TaskStarted and RunEnded crowded out the lines that tell a cause. Errors of the output were ignored. Lines at close could be written beside the thread's last batch.

Change: whole lines in writes of at most 4,096 bytes; a longer line goes alone. Lines dropped at a full buffer, at half of it (level Debug) and by a failed output are counted apart and reported as LogLinesDropped with cause, ts and daemon. close() lets the thread write what is buffered and waits for it, for a second at most.

Evidence: the nine tests of crates/cassiahoist_telemetry/tests/log.rs on outputs that record, block, fail and break within a line.

--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -59,7 +59,7 @@
     101 DaemonStopping Info "The daemon began a graceful stop.";
     102 DaemonStopped Info "The daemon stopped.";
     103 SettingsReloaded Info "The daemon read its settings file again.";
-    104 LogLinesDropped Warning "Log lines were dropped because the log writer fell behind.";
+    104 LogLinesDropped Warning "Log lines were dropped because the buffer was full or the output failed.";
     105 ProcessPaused Warning "The process was paused.";
     200 ClaimWon Info "This daemon won the claim on the slice.";
     201 ClaimLost Warning "This daemon lost its claim on the slice.";
--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -90,7 +90,7 @@
         .build()
         .map_err(unreachable_error)?;
     let (sender, inputs) = sync_channel(CONTROL_QUEUE_CAPACITY);
-    let log = LogWriter::new(min_severity(settings), &incarnation);
+    let log = LogWriter::new(min_severity(settings), &incarnation).map_err(unreachable_error)?;
     let (caller_stop_sender, caller_stop) = watch::channel(false);
     let (dispatcher, table_metrics) = {
         let _guard = runtime.enter();
--- a/crates/cassiahoist_telemetry/src/lib.rs
+++ b/crates/cassiahoist_telemetry/src/lib.rs
@@ -1,5 +1,7 @@
 //! Log events with fixed numbers, and metrics.
 
+mod line_buffer;
+mod line_writer;
 mod log;
 mod metrics;
 
--- a/crates/cassiahoist_telemetry/src/log.rs
+++ b/crates/cassiahoist_telemetry/src/log.rs
@@ -3,78 +3,16 @@
 //! Lines are collected in a bounded buffer, which a separate thread writes out. If the buffer is full, lines are dropped
 //! and counted, so that no other thread waits for the log.
 
+use std::fs::File;
 use std::io::{self, Write};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::time::Duration;
+use std::os::fd::AsFd;
+use std::sync::Mutex;
 
 use cassiahoist_core::prelude::*;
 use slog::{Drain, KV, Key, Logger, Record, Serializer, o};
 
-/// Most bytes in the buffer; lines beyond it are dropped.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
-/// Time for which lines are collected before they are written.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Lines that wait for the writer thread.
-#[derive(Debug, Default)]
-struct PendingLines {
-    /// Complete lines, each with its newline.
-    lines: Vec<u8>,
-    /// Number of lines dropped since the writer thread last took the lines.
-    dropped: u64,
-    /// Whether the writer thread ends instead of waiting for more lines.
-    closed: bool,
-}
-
-/// Buffer between the logger and the writer thread; clones share it.
-#[derive(Clone, Debug, Default)]
-struct LineBuffer {
-    shared: Arc<(Mutex<PendingLines>, Condvar)>,
-}
-
-impl Write for LineBuffer {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let (pending, not_empty) = &*self.shared;
-        let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
-        if pending.lines.len() + buf.len() > MAX_BUFFERED_BYTES {
-            pending.dropped += 1;
-            return Ok(buf.len());
-        }
-        let was_empty = pending.lines.is_empty();
-        pending.lines.extend_from_slice(buf);
-        if was_empty {
-            not_empty.notify_one();
-        }
-        Ok(buf.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-/// Passes only complete lines to the buffer. A full buffer thus never truncates a line.
-#[derive(Debug)]
-struct LineAssembler {
-    line: Vec<u8>,
-    buffer: LineBuffer,
-}
-
-impl Write for LineAssembler {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(buf);
-        if self.line.ends_with(b"\n") {
-            self.buffer.write_all(&self.line)?;
-            self.line.clear();
-        }
-        Ok(buf.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
+use crate::line_buffer::{LineAssembler, LineBuffer, Priority};
+use crate::line_writer::write_buffered_lines;
 
 /// Names and values of one event's fields.
 struct Fields<'f>(&'f [(&'static str, String)]);
@@ -91,25 +29,48 @@
 /// Writes log events; clones share one buffer.
 #[derive(Clone, Debug)]
 pub struct LogWriter {
+    /// Takes the events for developers.
+    debug_logger: Logger,
+    /// Takes all other events.
     logger: Logger,
     buffer: LineBuffer,
     min_level: slog::Level,
 }
 
 impl LogWriter {
-    /// Starts the writer thread and returns a writer that ignores events below `min_severity`.
+    /// Starts the writer thread for standard output and returns a writer that ignores events below `min_severity`.
     ///
     /// Each line names `daemon`.
-    #[must_use]
-    pub fn new(min_severity: Severity, daemon: &Incarnation) -> Self {
+    ///
+    /// # Errors
+    /// Returns the system's error if standard output can't be used or the thread can't be started.
+    pub fn new(min_severity: Severity, daemon: &Incarnation) -> io::Result<Self> {
+        // Unlike `Stdout`, a file has no buffer that could split or join the writes.
+        let output = File::from(io::stdout().as_fd().try_clone_to_owned()?);
+        Self::with_output(min_severity, daemon, output)
+    }
+
+    /// Starts the writer thread for another output.
+    ///
+    /// # Errors
+    /// Returns the system's error if the thread can't be started.
+    pub fn with_output(
+        min_severity: Severity,
+        daemon: &Incarnation,
+        output: impl Write + Send + 'static,
+    ) -> io::Result<Self> {
         let buffer = LineBuffer::default();
-        let lines = LineAssembler { line: Vec::new(), buffer: buffer.clone() };
-        let drain = Mutex::new(slog_json::Json::default(lines)).fuse();
-        let writer = buffer.clone();
-        // If the thread can't be started, lines are dropped once the buffer is full, and the daemon still runs.
-        let _thread = std::thread::Builder::new().name("log".into()).spawn(move || write_lines(&writer));
-        let logger = Logger::root(drain, o!("daemon" => daemon.to_string()));
-        Self { logger, buffer, min_level: slog_level(min_severity) }
+        let new_logger = |priority| {
+            let lines = LineAssembler::new(buffer.clone(), priority);
+            let drain = Mutex::new(slog_json::Json::default(lines)).fuse();
+            Logger::root(drain, o!("daemon" => daemon.to_string()))
+        };
+        let (debug_logger, logger) = (new_logger(Priority::Debug), new_logger(Priority::Normal));
+        let (lines, log_values) = (buffer.clone(), logger.list().clone());
+        std::thread::Builder::new()
+            .name("log".into())
+            .spawn(move || write_buffered_lines(&lines, output, &log_values))?;
+        Ok(Self { debug_logger, logger, buffer, min_level: slog_level(min_severity) })
     }
 
     /// Writes an event with its fields, without blocking on output. The line may be dropped.
@@ -122,7 +83,7 @@
         let logger = &self.logger;
         match level {
             slog::Level::Debug | slog::Level::Trace => {
-                slog::debug!(logger, "{}", name; "event" => number, Fields(fields));
+                slog::debug!(self.debug_logger, "{}", name; "event" => number, Fields(fields));
             }
             slog::Level::Info => slog::info!(logger, "{}", name; "event" => number, Fields(fields)),
             slog::Level::Warning => slog::warn!(logger, "{}", name; "event" => number, Fields(fields)),
@@ -132,48 +93,17 @@
         }
     }
 
-    /// Writes the buffered lines and ends the writer thread; called before the process exits.
-    pub fn close(&self) {
-        let (pending, not_empty) = &*self.buffer.shared;
-        let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
-        pending.closed = true;
-        not_empty.notify_one();
-        let lines = std::mem::take(&mut pending.lines);
-        // The process exits, so a closed standard output can't be reported.
-        let _closed = io::stdout().write_all(&lines);
+    /// Returns how many lines were dropped since the start, because the buffer was full or the output failed.
+    #[must_use]
+    pub fn dropped_lines(&self) -> u64 {
+        self.buffer.dropped_total()
     }
-}
 
-/// Body of the writer thread: writes the buffered lines until the buffer is closed.
-fn write_lines(buffer: &LineBuffer) {
-    let (pending, not_empty) = &*buffer.shared;
-    let mut batch = Vec::new();
-    loop {
-        let mut guard = pending.lock().unwrap_or_else(PoisonError::into_inner);
-        while guard.lines.is_empty() && !guard.closed {
-            guard = not_empty.wait(guard).unwrap_or_else(PoisonError::into_inner);
-        }
-        if guard.closed {
-            return;
-        }
-        drop(guard);
-        std::thread::sleep(WRITE_INTERVAL);
-        let mut guard = pending.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::swap(&mut guard.lines, &mut batch);
-        let dropped = std::mem::take(&mut guard.dropped);
-        drop(guard);
-        if dropped > 0 {
-            let event = EventId::LogLinesDropped;
-            let line = format!(
-                "{{\"msg\":\"{}\",\"event\":{},\"level\":\"WARN\",\"dropped\":{dropped}}}\n",
-                event.name(),
-                event.number()
-            );
-            batch.extend_from_slice(line.as_bytes());
-        }
-        // A closed standard output loses the lines, and must not end the daemon.
-        let _closed = io::stdout().write_all(&batch);
-        batch.clear();
+    /// Writes the buffered lines and ends the writer thread; called before the process exits.
+    ///
+    /// Returns after a second at the latest if the output accepts nothing. Later events are not written.
+    pub fn close(&self) {
+        self.buffer.close();
     }
 }
 
