Log the holder's load once a second

Cause: no line said how long ticks take, how many starts are open, what their limit is, how many steps wait, and how old the followed ranges are. So a slow control thread, a full link and silent hosts looked alike.

Change: HolderLoad (209, Info) while this daemon holds or adopts the slice, from counters and one pass a second over engaged hosts and ready steps; the same values as gauges and in hoistctl status. New: the longest tick, the longest gap between ticks, the longest wait of a host's answer for a tick, orders not sent, starts unanswered, messages received and log lines dropped. The summary requests no tick of its own.

--- a/crates/cassiahoist_ctl/src/render.rs
+++ b/crates/cassiahoist_ctl/src/render.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-/// Renders a JSON page as lines of `name: value`. Other text is returned with a final newline.
+/// Renders a JSON page as lines of `name: value`, and an object of numbers as one line. Other text is returned with a final newline.
 pub(crate) fn render_page(text: &str) -> String {
     match serde_json::from_str::<Value>(text) {
         Ok(value) => {
@@ -16,6 +16,10 @@
 
 fn render_value(value: &Value, name: &str, lines: &mut String) {
     match value {
+        Value::Object(fields) if !name.is_empty() && fields.values().all(Value::is_number) => {
+            let texts: Vec<String> = fields.iter().map(|(field, value)| format!("{field}={value}")).collect();
+            push_line(name, &texts.join(" "), lines);
+        }
         Value::Object(fields) => {
             for (field, value) in fields {
                 let name = if name.is_empty() { field.clone() } else { format!("{name}.{field}") };
--- a/crates/cassiahoist_daemon/src/control.rs
+++ b/crates/cassiahoist_daemon/src/control.rs
@@ -8,6 +8,7 @@
 use cassiahoist_traffic::dispatcher::{Dispatcher, LoopControl};
 use cassiahoist_traffic::protocol::Platform;
 use cassiahoist_world::app::App;
+use cassiahoist_world::world::World;
 
 use crate::table_metrics::TableMetrics;
 use crate::views::render_view;
@@ -55,9 +56,7 @@
             }
         }
         let took = tick_started.elapsed();
-        let counters = &mut app.world_mut().counters;
-        counters.ticks += 1;
-        counters.tick_us += took.as_micros() as u64;
+        record_tick(app.world_mut(), took, dispatcher.log.dropped_lines());
         table_metrics.publish(app.world());
         pause_after_tick(took);
         if let NextAction::End = receive_inputs(&mut app, inputs, clock) {
@@ -66,6 +65,15 @@
     }
 }
 
+fn record_tick(world: &mut World, took: Duration, log_lines_dropped: u64) {
+    let tick_us = took.as_micros() as u64;
+    world.counters.ticks += 1;
+    world.counters.tick_us += tick_us;
+    world.counters.log_lines_dropped = log_lines_dropped;
+    let longest_tick_us = &mut world.load.period.longest_tick_us;
+    *longest_tick_us = tick_us.max(*longest_tick_us);
+}
+
 /// Sleeps for a multiple of the time that the last tick took.
 fn pause_after_tick(took: Duration) {
     let pause = (took * PAUSE_FACTOR).min(MAX_PAUSE);
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -20,7 +20,7 @@
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 15] = [
+const COUNTERS: [(&str, &str, ReadValue); 19] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
@@ -36,9 +36,13 @@
     ("cassiahoist_ticks", "Ticks of the control thread", |w| w.counters.ticks),
     ("cassiahoist_tick_us", "Time that ticks took, in microseconds", |w| w.counters.tick_us),
     ("cassiahoist_claims", "Times that this daemon won the claim on the slice", |w| w.counters.claims),
+    ("cassiahoist_events", "Messages that the control thread received", |w| w.counters.events),
+    ("cassiahoist_orders_not_sent", "Orders to hosts that were never sent", |w| w.counters.orders_not_sent),
+    ("cassiahoist_starts_unanswered", "Start orders without an answer", |w| w.counters.starts_unanswered),
+    ("cassiahoist_log_lines_dropped", "Log lines that were dropped", |w| w.counters.log_lines_dropped),
 ];
 
-const GAUGES: [(&str, &str, ReadValue); 6] = [
+const GAUGES: [(&str, &str, ReadValue); 14] = [
     ("cassiahoist_calls_open", "Calls in progress", |w| w.calls.open.len() as u64),
     ("cassiahoist_jobs_open", "Jobs in this daemon's tables", |w| w.jobs.len() as u64),
     ("cassiahoist_runs_open", "Runs that occupy resources", |w| w.runs.rows.len() as u64),
@@ -47,6 +51,22 @@
     ("cassiahoist_config_version", "Version of the configuration in force; 0 if none", |w| {
         w.config.current.as_ref().map_or(0, |config| config.version)
     }),
+    ("cassiahoist_longest_tick_us", "Longest tick of the last second, in microseconds", |w| {
+        w.load.latest.longest_tick_us
+    }),
+    ("cassiahoist_answer_queue_ms", "Longest wait of a host's answer for a tick in the last second", |w| {
+        w.load.latest.answer_queue_ms
+    }),
+    ("cassiahoist_starts_open", "Start orders without an answer so far", |w| {
+        u64::from(w.runs.start_window.open())
+    }),
+    ("cassiahoist_starts_limit", "Most open start orders", |w| u64::from(w.runs.start_window.limit())),
+    ("cassiahoist_quickest_answer_ms", "Latency of the quickest host", |w| {
+        w.holding.answer_times.min_latency_ms
+    }),
+    ("cassiahoist_hosts_engaged", "Hosts that are polled", |w| w.load.latest.engaged_hosts),
+    ("cassiahoist_hosts_unresponsive", "Hosts that do not answer", |w| w.load.latest.unresponsive_hosts),
+    ("cassiahoist_tasks_pending", "Pending tasks of ready steps", |w| w.load.latest.pending_tasks),
 ];
 
 const HISTOGRAMS: [(&str, ReadHistogram); 4] = [
--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -1,5 +1,6 @@
 //! Views of the tables for operators and the load balancer. All are JSON, except for the readiness.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
@@ -47,6 +48,7 @@
         "members": members,
         "jobs": world.jobs.len(),
         "runs": world.runs.rows.len(),
+        "load": world.load.latest.fields().into_iter().collect::<BTreeMap<_, _>>(),
     })
 }
 
--- a/crates/cassiahoist_membership/src/follow.rs
+++ b/crates/cassiahoist_membership/src/follow.rs
@@ -94,6 +94,9 @@
     if completion.issued_at_ms < range.ignore_issued_before_ms {
         return;
     }
+    if completion.outcome.is_ok() {
+        range.last_answer_at_ms = now_ms;
+    }
     match completion.outcome {
         Ok(StoreReply::Items { items, revision }) => {
             range.revision = Some(revision);
@@ -138,7 +141,9 @@
         }
     } else {
         for space in HOLDER_RANGES {
-            world.store_connection.followed_ranges.entry(space).or_default().relist(now_ms);
+            let range = world.store_connection.followed_ranges.entry(space).or_default();
+            range.relist(now_ms);
+            range.last_answer_at_ms = now_ms;
         }
     }
 }
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -1,4 +1,4 @@
-//! Runs of tasks on hosts: polls, ends, stop orders, leases and filler pace.
+//! Runs of tasks on hosts: polls, ends, stop orders, leases and filler pace. Also the load that they cause.
 //!
 //! A host's own lists are authoritative for what runs there, and poll answers update the run rows. A run keeps its
 //! resources reserved until the host lists its end or the host's lease expires.
@@ -8,6 +8,7 @@
 mod host_lists;
 mod lease_expiry;
 mod lifecycle;
+mod load;
 mod order_answers;
 mod outcome;
 mod pace;
@@ -27,12 +28,14 @@
 
 impl Plugin for RunsPlugin {
     fn build(&self, app: &mut App) {
-        app.add_system(TickSet::HostAnswers, order_answers::apply_order_answers)
+        app.add_system(TickSet::Receive, load::measure_tick)
+            .add_system(TickSet::HostAnswers, order_answers::apply_order_answers)
             .add_system(TickSet::HostAnswers, lease_expiry::expire_host_leases)
             .add_system(TickSet::HostAnswers, adopt::stop_partial_gangs)
             .add_system(TickSet::Runs, stalls::stop_stalled_runs)
             .add_system(TickSet::Runs, stop_orders::send_stop_orders)
             .add_system(TickSet::Runs, pace::send_filler_pace)
-            .add_system(TickSet::Runs, poll::poll_hosts);
+            .add_system(TickSet::Runs, poll::poll_hosts)
+            .add_system(TickSet::Outgoing, load::log_holder_load);
     }
 }
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -5,6 +5,7 @@
 mod declarations;
 mod engagement;
 mod host_restarts;
+mod load;
 mod placement;
 mod recording;
 mod runs;
--- a/crates/cassiahoist_world/src/app.rs
+++ b/crates/cassiahoist_world/src/app.rs
@@ -52,6 +52,7 @@
 
     /// Queues an event for the next tick.
     pub fn push_event(&mut self, event: Event) {
+        self.world.counters.events += 1;
         self.world.inbox.push(event);
     }
 
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -52,6 +52,14 @@
     pub advice_calls: u64,
     /// Claims on the slice that this daemon won.
     pub claims: u64,
+    /// Messages that the control thread received.
+    pub events: u64,
+    /// Orders to hosts that were never sent.
+    pub orders_not_sent: u64,
+    /// Start orders that hosts did not answer.
+    pub starts_unanswered: u64,
+    /// Log lines that were dropped.
+    pub log_lines_dropped: u64,
     /// Ticks of the control thread.
     pub ticks: u64,
     /// Time that ticks and the dispatch of their effects took, in microseconds.
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod inbox;
 pub mod jobs;
 pub mod keys;
+pub mod load;
 pub mod local;
 pub mod members;
 pub mod notices;
--- a/crates/cassiahoist_world/src/start_window.rs
+++ b/crates/cassiahoist_world/src/start_window.rs
@@ -36,6 +36,12 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Returns the number of start orders that were issued and not answered.
+    #[must_use]
+    pub fn open(self) -> u32 {
+        self.open
+    }
+
     /// Returns how many orders the holder's link and processor bear at a time.
     #[must_use]
     pub fn limit(self) -> u32 {
--- a/crates/cassiahoist_world/src/store_connection.rs
+++ b/crates/cassiahoist_world/src/store_connection.rs
@@ -15,6 +15,10 @@
     pub next_call_at_ms: u64,
     /// Results of calls issued before this time are ignored, in monotonic milliseconds.
     pub ignore_issued_before_ms: u64,
+    /// When the range was last answered, in monotonic milliseconds.
+    ///
+    /// Before the first answer, when this daemon began to follow the range.
+    pub last_answer_at_ms: u64,
 }
 
 impl FollowedRange {
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -12,6 +12,7 @@
 use crate::hosts::{HostKey, HostTable};
 use crate::inbox::Inbox;
 use crate::jobs::{JobTable, Step, TaskKey};
+use crate::load::LoadTable;
 use crate::local::LocalDaemon;
 use crate::members::MemberTable;
 use crate::notices::HolderNotice;
@@ -57,6 +58,8 @@
     pub outbox: Vec<Effect>,
     /// Counters and latencies for the metrics page.
     pub counters: Counters,
+    /// Load of this daemon, measured once a second.
+    pub load: LoadTable,
     /// When the next tick is due, in monotonic milliseconds. Reset to `u64::MAX` by each tick.
     pub wake_at_ms: u64,
 }
@@ -82,6 +85,7 @@
             inbox: Inbox::default(),
             outbox: Vec::new(),
             counters: Counters::default(),
+            load: LoadTable::default(),
             wake_at_ms: u64::MAX,
         }
     }
