Log stale ranges and which store call failed

Cause: no line told a lost watch from a range without changes, and StoreUnreachable said neither which call failed nor how, nor StoreReachable for how long.

Change: RangeStale (305) once a followed range has had no answer for longer than the pause, the wait and the longest timeout of a watch, RangeFresh (306) with the age once it is answered; one pair per outage. StoreUnreachable carries purpose, failure and took_ms, StoreReachable for_ms.

--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -76,6 +76,8 @@
     302 StoreItemSkipped Warning "An item of the store is unreadable and is skipped.";
     303 StoreHistoryCompacted Info "The store discarded the change history; the range is listed again.";
     304 LeaseLost Warning "This daemon's lease in the store ended.";
+    305 RangeStale Warning "A followed range of the store has not been answered for too long.";
+    306 RangeFresh Info "A stale range of the store is answered again.";
     400 HostAdopted Info "A host reported everything that it runs.";
     401 HostDraining Info "A host is draining and gets no new work.";
     402 HostUnresponsive Warning "A host does not answer.";
--- a/crates/cassiahoist_membership/src/follow.rs
+++ b/crates/cassiahoist_membership/src/follow.rs
@@ -3,7 +3,8 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::inbox::RangeUpdate;
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::store::{KeySpace, StoreCompletion, StoreOp, StorePurpose, StoreReply};
+use cassiahoist_world::store::{KeySpace, StoreCompletion, StoreFailure, StoreOp, StorePurpose, StoreReply};
+use cassiahoist_world::store_connection::TIMEOUT_BOUNDS_MS;
 
 /// How long a watch waits for a change, in milliseconds.
 ///
@@ -35,6 +36,11 @@
 /// Each heartbeat of a host may change its entry; a watch that returned for each would cause dozens of calls a second.
 const HOSTS_PAUSE_MS: u64 = 400;
 
+/// Age above which a followed range is stale, in milliseconds.
+///
+/// A watch that waits and times out once, with the longest pause before it, is younger.
+const STALE_AFTER_MS: u64 = WATCH_WAIT_MS + *TIMEOUT_BOUNDS_MS.end() + JOBS_PAUSE_MS;
+
 /// Fewest changes in an answer that the store may have truncated.
 ///
 /// The next watch then starts without a pause. The store returns at most about 500 items at a time.
@@ -50,14 +56,18 @@
 pub fn route_store_answers(world: &mut World, now_ms: u64) {
     for index in 0..world.inbox.store_results.len() {
         let completion = &world.inbox.store_results[index];
-        let (failed, issued_at_ms) = (completion.outcome.is_err(), completion.issued_at_ms);
+        let failure = completion.outcome.as_ref().err().map(|kind| (completion.purpose.clone(), *kind));
+        let issued_at_ms = completion.issued_at_ms;
         // The store holds a watch until a change, so its duration is not counted as latency.
         let is_watch =
             matches!(&completion.outcome, Ok(StoreReply::Changes { .. } | StoreReply::HistoryCompacted));
-        if !failed && !is_watch {
+        if failure.is_none() && !is_watch {
             world.store_connection.record_latency(now_ms.saturating_sub(issued_at_ms));
         }
-        update_store_reachability(world, failed, issued_at_ms, now_ms);
+        match failure {
+            Some((purpose, kind)) => record_store_failure(world, &purpose, kind, issued_at_ms, now_ms),
+            None => record_store_answer(world, now_ms),
+        }
     }
     for completion in
         world.inbox.take_store_results(|purpose| matches!(purpose, StorePurpose::FollowRange(_)))
@@ -68,22 +78,27 @@
     }
 }
 
-fn update_store_reachability(world: &mut World, failed: bool, issued_at_ms: u64, now_ms: u64) {
-    if failed && issued_at_ms < world.store_connection.last_answer_at_ms {
-        // A later call was answered, so this failure says nothing about the current state.
+fn record_store_failure(
+    world: &mut World,
+    purpose: &StorePurpose,
+    failure: StoreFailure,
+    issued_at_ms: u64,
+    now_ms: u64,
+) {
+    // If a later call was answered, this failure says nothing about the current state.
+    if issued_at_ms < world.store_connection.last_answer_at_ms || world.store_connection.is_failing() {
         return;
     }
-    let was_failing = world.store_connection.is_failing();
-    if failed {
-        world.store_connection.failing_since_ms.get_or_insert(now_ms);
-    } else {
-        world.store_connection.last_answer_at_ms = now_ms;
-        world.store_connection.failing_since_ms = None;
-    }
-    if failed && !was_failing {
-        world.log(LogRecord::new(EventId::StoreUnreachable));
-    } else if !failed && was_failing {
-        world.log(LogRecord::new(EventId::StoreReachable));
+    world.store_connection.failing_since_ms = Some(now_ms);
+    let log_record = LogRecord::new(EventId::StoreUnreachable).with("purpose", format!("{purpose:?}"));
+    let log_record = log_record.with("failure", format!("{failure:?}"));
+    world.log(log_record.with("took_ms", now_ms.saturating_sub(issued_at_ms)));
+}
+
+fn record_store_answer(world: &mut World, now_ms: u64) {
+    world.store_connection.last_answer_at_ms = now_ms;
+    if let Some(since_ms) = world.store_connection.failing_since_ms.take() {
+        world.log(LogRecord::new(EventId::StoreReachable).with("for_ms", now_ms.saturating_sub(since_ms)));
     }
 }
 
@@ -95,8 +110,13 @@
         return;
     }
     if completion.outcome.is_ok() {
-        range.last_answer_at_ms = now_ms;
+        let answered_at_ms = std::mem::replace(&mut range.last_answer_at_ms, now_ms);
+        if std::mem::take(&mut range.is_stale) {
+            let log_record = LogRecord::new(EventId::RangeFresh).with("range", format!("{space:?}"));
+            world.log(log_record.with("age_ms", now_ms.saturating_sub(answered_at_ms)));
+        }
     }
+    let range = world.store_connection.followed_ranges.entry(space).or_default();
     match completion.outcome {
         Ok(StoreReply::Items { items, revision }) => {
             range.revision = Some(revision);
@@ -144,10 +164,27 @@
             let range = world.store_connection.followed_ranges.entry(space).or_default();
             range.relist(now_ms);
             range.last_answer_at_ms = now_ms;
+            range.is_stale = false;
         }
     }
 }
 
+/// Logs each followed range that the store has not answered for longer than a watch takes.
+pub fn detect_stale_ranges(world: &mut World, now_ms: u64) {
+    let mut log_records = Vec::new();
+    for (space, range) in &mut world.store_connection.followed_ranges {
+        let age_ms = now_ms.saturating_sub(range.last_answer_at_ms);
+        if age_ms > STALE_AFTER_MS && !range.is_stale {
+            range.is_stale = true;
+            let log_record = LogRecord::new(EventId::RangeStale).with("range", format!("{space:?}"));
+            log_records.push(log_record.with("age_ms", age_ms).with("in_flight", range.in_flight));
+        }
+    }
+    for log_record in log_records {
+        world.log(log_record);
+    }
+}
+
 fn follow_range(world: &mut World, space: KeySpace, now_ms: u64) {
     let (timeout_ms, page_timeout_ms) = (world.store_connection.call_timeout_ms(), page_timeout_ms(world));
     let range = world.store_connection.followed_ranges.entry(space).or_default();
--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -41,6 +41,7 @@
             .add_system(TickSet::Membership, load::load_records)
             .add_system(TickSet::Membership, load::finish_adoption)
             .add_system(TickSet::Outgoing, follow::follow_ranges)
+            .add_system(TickSet::Outgoing, follow::detect_stale_ranges)
             .add_system(TickSet::Outgoing, stop::retry_release)
             .add_system(TickSet::Outgoing, stop::release_claim)
             .add_system(TickSet::Outgoing, stop::finish_stop);
--- a/crates/cassiahoist_world/src/store_connection.rs
+++ b/crates/cassiahoist_world/src/store_connection.rs
@@ -19,6 +19,8 @@
     ///
     /// Before the first answer, when this daemon began to follow the range.
     pub last_answer_at_ms: u64,
+    /// Whether the range was logged as stale since its last answer.
+    pub is_stale: bool,
 }
 
 impl FollowedRange {
@@ -60,7 +62,7 @@
 const TIMEOUT_FACTOR: f64 = 8.0;
 
 /// Shortest and longest timeout of a call, in milliseconds.
-const TIMEOUT_BOUNDS_MS: std::ops::RangeInclusive<u64> = 300..=1_200;
+pub const TIMEOUT_BOUNDS_MS: std::ops::RangeInclusive<u64> = 300..=1_200;
 
 /// A store that leaves calls unanswered for this long counts as unresponsive, in milliseconds.
 const UNRESPONSIVE_AFTER_MS: u64 = 400;
