--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -59,7 +59,7 @@
     101 DaemonStopping Info "The daemon began a graceful stop.";
     102 DaemonStopped Info "The daemon stopped.";
     103 SettingsReloaded Info "The daemon read its settings file again.";
-    104 LogLinesDropped Warning "Log lines were dropped because the log writer fell behind.";
+    104 LogLinesDropped Warning "Log lines were dropped because the buffer was full or the output failed.";
     105 ProcessPaused Warning "The process was paused.";
     200 ClaimWon Info "This daemon won the claim on the slice.";
     201 ClaimLost Warning "This daemon lost its claim on the slice.";
@@ -70,11 +70,14 @@
     206 MemberLeft Info "A daemon's entry was removed from the store.";
     207 HolderSlow Warning "This daemon is too slow to hold the slice and releases its claim.";
     208 PeerMessageSkipped Warning "A message of another daemon is unreadable and is skipped.";
+    209 HolderLoad Info "Load of the daemon that holds or adopts the slice, once a second.";
     300 StoreUnreachable Warning "The store does not answer.";
     301 StoreReachable Info "The store answers again.";
     302 StoreItemSkipped Warning "An item of the store is unreadable and is skipped.";
     303 StoreHistoryCompacted Info "The store discarded the change history; the range is listed again.";
     304 LeaseLost Warning "This daemon's lease in the store ended.";
+    305 RangeStale Warning "A followed range of the store has not been answered for too long.";
+    306 RangeFresh Info "A stale range of the store is answered again.";
     400 HostAdopted Info "A host reported everything that it runs.";
     401 HostDraining Info "A host is draining and gets no new work.";
     402 HostUnresponsive Warning "A host does not answer.";
