Limit connections to hosts by the process's descriptors

Cause: the limit of 16 connections to a host had no bound over all hosts. 1,100 hosts took all descriptors, and from then on orders, calls to the store and connections of callers failed at once. The holder took orders that it could not send for silent hosts: it stopped renewing their leases and gave up their runs, and it took the store for unreachable.

Class: one resource of the process shared by unlike users without a share each, and a failure of one's own taken for a failure of the other side.

Change: the settings give the process's limit of descriptors; a share of it bounds connections to all hosts together, and the rest stays for callers, peers, store and files. NotSent carries its cause, and causes that lie with this daemon neither mark a host or the store as unresponsive nor count as refusals. Elsewhere for the same cause: links to peers that left are closed after 30 s without messages, and operators' connections have a time for their headers.

--- a/crates/cassiahoist_config/src/declarations.rs
+++ b/crates/cassiahoist_config/src/declarations.rs
@@ -53,7 +53,9 @@
             let stored = items.iter().find(|item| item.key == StoreKey::Declared);
             DeclareOutcome::Changed { revision: stored.map_or(0, |item| item.revision) }
         }
-        Err(StoreFailure::NotApplied) => DeclareOutcome::Failed(ErrorKind::StoreAway),
+        Err(StoreFailure::NotApplied | StoreFailure::NotSent(_)) => {
+            DeclareOutcome::Failed(ErrorKind::StoreAway)
+        }
         Ok(_) | Err(StoreFailure::Unknown) => DeclareOutcome::Failed(ErrorKind::RecordUncertain),
     }
 }
--- /dev/null
+++ b/crates/cassiahoist_core/src/descriptors.rs
@@ -0,0 +1,28 @@
+//! Shares of the file descriptors that the process may open.
+
+/// Default limit of open file descriptors, the usual soft limit of a process.
+pub const DEFAULT_MAX_DESCRIPTORS: usize = 1_024;
+
+/// Smallest valid limit of open file descriptors.
+pub const MIN_MAX_DESCRIPTORS: usize = 512;
+
+/// Descriptors reserved for files.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Descriptors reserved for the store, the advice service, operators, listeners and the runtime.
+const SERVICE_DESCRIPTORS: usize = 128;
+
+/// Share of the other descriptors that is reserved for connections of callers, in percent.
+const CALLERS_PERCENT: usize = 15;
+
+/// Share of the other descriptors that is reserved for connections from and to peers, in percent.
+const PEERS_PERCENT: usize = 10;
+
+/// Returns how many connections to hosts may be open at a time.
+///
+/// The rest of the limit is reserved, so that hosts never take the descriptors of callers, peers, store and advice.
+#[must_use]
+pub const fn max_host_connections(max_descriptors: usize) -> usize {
+    let unreserved = max_descriptors.saturating_sub(FILE_DESCRIPTORS + SERVICE_DESCRIPTORS);
+    unreserved * (100 - CALLERS_PERCENT - PEERS_PERCENT) / 100
+}
--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -92,7 +92,7 @@
     603 TaskStarted Debug "A host was ordered to start a run.";
     604 RunEnded Debug "A run ended.";
     605 RunFailed Info "A run failed.";
-    606 StartRefused Info "A host refused to start a run.";
+    606 StartRefused Info "A host refused to start a run, or the order was never sent.";
     607 StartUnanswered Info "A host did not answer a start order; a stop order follows.";
     608 RunStopped Info "A run is being stopped.";
     609 RunLost Warning "A host no longer lists a run and reported no end for it.";
--- a/crates/cassiahoist_core/src/lib.rs
+++ b/crates/cassiahoist_core/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod bounds;
+pub mod descriptors;
 pub mod error;
 pub mod event_id;
 pub mod hash;
--- a/crates/cassiahoist_core/tests/core.rs
+++ b/crates/cassiahoist_core/tests/core.rs
@@ -1,5 +1,6 @@
 //! Tests of names, error kinds and the catalogue of log events.
 
+use cassiahoist_core::descriptors::{MIN_MAX_DESCRIPTORS, max_host_connections};
 use cassiahoist_core::prelude::*;
 use proptest::prelude::*;
 
@@ -61,3 +62,15 @@
         let _ = HostName::new(&text);
     }
 }
+
+/// Hosts that needed all descriptors would leave none for callers, peers and the store.
+#[test]
+fn part_of_the_descriptors_is_reserved() {
+    for max_descriptors in [MIN_MAX_DESCRIPTORS, 1_024, 4_100, 8_192] {
+        let hosts = max_host_connections(max_descriptors);
+        assert!(hosts >= 100, "{max_descriptors}: {hosts}");
+        // The platform sets 200 aside for files; store and advice clients keep up to 32 connections each.
+        assert!(max_descriptors - hosts >= 200 + 2 * 32, "{max_descriptors}: {hosts}");
+    }
+    assert_eq!(max_host_connections(0), 0);
+}
--- a/crates/cassiahoist_ctl/src/client.rs
+++ b/crates/cassiahoist_ctl/src/client.rs
@@ -46,7 +46,7 @@
         Exchange::Response(response) => {
             Err(failed(format!("{} {}", response.status(), String::from_utf8_lossy(response.body()).trim())))
         }
-        Exchange::NotSent => Err(failed("cannot connect to the daemon".into())),
+        Exchange::NotSent(cause) => Err(failed(format!("cannot connect to the daemon: {cause:?}"))),
         Exchange::NoResponse => Err(failed("the daemon did not answer in time".into())),
     }
 }
--- a/crates/cassiahoist_daemon/src/control.rs
+++ b/crates/cassiahoist_daemon/src/control.rs
@@ -58,6 +58,7 @@
         let took = tick_started.elapsed();
         record_tick(app.world_mut(), took, dispatcher.log.dropped_lines());
         table_metrics.publish(app.world());
+        table_metrics.publish_host_connections(&dispatcher.hosts);
         pause_after_tick(took);
         if let NextAction::End = receive_inputs(&mut app, inputs, clock) {
             return;
--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 
+use cassiahoist_core::descriptors::max_host_connections;
 use cassiahoist_core::prelude::*;
 use cassiahoist_platform::settings::read_platform_settings;
 use cassiahoist_platform::{READY_PATH, SitePlatform, advice, callers, hosts, store};
@@ -159,7 +160,8 @@
             clock,
             control.clone(),
         ),
-        hosts: HostClient::new(hosts::HostCodec, clock, control.clone()),
+        hosts: HostClient::new(hosts::HostCodec, clock, control.clone())
+            .with_max_open_connections(max_host_connections(settings.daemon.max_descriptors)),
         advice: AdviceClient::new(advice::AdviceCodec, advice_address, peers.clone(), control.clone()),
         peers,
         control,
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -1,9 +1,11 @@
-//! Metrics of the tables, published after each tick.
+//! Metrics of the tables and of the connections to hosts, published after each tick.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cassiahoist_telemetry::Metrics;
+use cassiahoist_traffic::host_client::HostClient;
+use cassiahoist_traffic::protocol::HostProtocol;
 use cassiahoist_world::counters::{BUCKETS_MS, Histogram};
 use cassiahoist_world::world::World;
 
@@ -18,26 +20,32 @@
 pub struct TableMetrics {
     cells: Vec<(Arc<AtomicU64>, ReadValue)>,
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
+    host_connections_open: Arc<AtomicU64>,
+    host_connections_limit: Arc<AtomicU64>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 19] = [
+const COUNTERS: [(&str, &str, ReadValue); 21] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
     ("cassiahoist_jobs_ended", "Jobs that reached a final state at this daemon", |w| w.counters.jobs_ended),
     ("cassiahoist_starts", "Start orders issued to hosts", |w| w.counters.starts),
     ("cassiahoist_starts_refused", "Start orders that hosts refused", |w| w.counters.starts_refused),
+    ("cassiahoist_starts_unsent", "Start orders that were never sent", |w| w.counters.starts_unsent),
+    ("cassiahoist_orders_unsent", "Orders that this daemon could not send", |w| w.counters.orders_unsent),
     ("cassiahoist_runs_done", "Runs that completed", |w| w.counters.runs_done),
     ("cassiahoist_runs_failed", "Runs that failed", |w| w.counters.runs_failed),
     ("cassiahoist_runs_stopped", "Runs ordered to stop", |w| w.counters.runs_stopped),
     ("cassiahoist_polls", "Polls sent to hosts", |w| w.counters.polls),
     ("cassiahoist_store_calls", "Calls to the store", |w| w.counters.store_calls),
+    ("cassiahoist_store_calls_unsent", "Calls to the store that this daemon could not send", |w| {
+        w.counters.store_calls_unsent
+    }),
     ("cassiahoist_advice_calls", "Calls to the advice service", |w| w.counters.advice_calls),
     ("cassiahoist_ticks", "Ticks of the control thread", |w| w.counters.ticks),
     ("cassiahoist_tick_us", "Time that ticks took, in microseconds", |w| w.counters.tick_us),
     ("cassiahoist_claims", "Times that this daemon won the claim on the slice", |w| w.counters.claims),
     ("cassiahoist_events", "Messages that the control thread received", |w| w.counters.events),
-    ("cassiahoist_orders_not_sent", "Orders to hosts that were never sent", |w| w.counters.orders_not_sent),
     ("cassiahoist_starts_unanswered", "Start orders without an answer", |w| w.counters.starts_unanswered),
     ("cassiahoist_log_lines_dropped", "Log lines that were dropped", |w| w.counters.log_lines_dropped),
 ];
@@ -82,7 +90,20 @@
         let counters = COUNTERS.map(|(name, help, read)| (metrics.register_counter(name.into(), help), read));
         let gauges = GAUGES.map(|(name, help, read)| (metrics.register_gauge(name, help), read));
         let histograms = HISTOGRAMS.map(|(name, read)| (register_histogram(metrics, name), read));
-        Self { cells: counters.into_iter().chain(gauges).collect(), histograms: histograms.into() }
+        Self {
+            cells: counters.into_iter().chain(gauges).collect(),
+            histograms: histograms.into(),
+            host_connections_open: metrics
+                .register_gauge("cassiahoist_host_connections_open", "Open connections to hosts"),
+            host_connections_limit: metrics
+                .register_gauge("cassiahoist_host_connections_limit", "Most open connections to hosts"),
+        }
+    }
+
+    /// Copies the number of open connections to hosts, and its limit, to the cells.
+    pub fn publish_host_connections<P: HostProtocol>(&self, hosts: &HostClient<P>) {
+        self.host_connections_open.store(hosts.open_connections() as u64, Ordering::Relaxed);
+        self.host_connections_limit.store(hosts.max_open_connections() as u64, Ordering::Relaxed);
     }
 
     /// Copies the current values of the tables to the cells.
--- a/crates/cassiahoist_jobs/src/accept.rs
+++ b/crates/cassiahoist_jobs/src/accept.rs
@@ -102,7 +102,7 @@
             *may_be_stored = true;
             call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
         }
-        Err(StoreFailure::NotApplied) => retry_or_refuse(world, number, now_ms),
+        Err(StoreFailure::NotApplied | StoreFailure::NotSent(_)) => retry_or_refuse(world, number, now_ms),
     }
 }
 
--- a/crates/cassiahoist_membership/src/follow.rs
+++ b/crates/cassiahoist_membership/src/follow.rs
@@ -56,6 +56,10 @@
 pub fn route_store_answers(world: &mut World, now_ms: u64) {
     for index in 0..world.inbox.store_results.len() {
         let completion = &world.inbox.store_results[index];
+        if matches!(completion.outcome, Err(failure) if failure.is_local_failure()) {
+            world.counters.store_calls_unsent += 1;
+            continue;
+        }
         let failure = completion.outcome.as_ref().err().map(|kind| (completion.purpose.clone(), *kind));
         let issued_at_ms = completion.issued_at_ms;
         // The store holds a watch until a change, so its duration is not counted as latency.
--- a/crates/cassiahoist_runs/src/load.rs
+++ b/crates/cassiahoist_runs/src/load.rs
@@ -9,7 +9,7 @@
 /// Length of a period, in milliseconds. A period ends with the first tick after it.
 const PERIOD_MS: u64 = 1_000;
 
-/// Measures the gap to the last tick, and counts orders that failed.
+/// Measures the gap to the last tick, and counts start orders without an answer.
 pub(crate) fn measure_tick(world: &mut World, now_ms: u64) {
     let period = &mut world.load.period;
     if period.last_tick_at_ms > 0 {
@@ -20,10 +20,8 @@
         let queued_ms = now_ms.saturating_sub(completion.completed_at_ms);
         period.answer_queue_ms = period.answer_queue_ms.max(queued_ms);
         let is_start = matches!(completion.order.order, Order::Start { .. });
-        match completion.outcome {
-            OrderOutcome::NotSent => world.counters.orders_not_sent += 1,
-            OrderOutcome::Unknown if is_start => world.counters.starts_unanswered += 1,
-            OrderOutcome::Unknown | OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => {}
+        if is_start && completion.outcome == OrderOutcome::Unknown {
+            world.counters.starts_unanswered += 1;
         }
     }
 }
@@ -69,7 +67,7 @@
         events: counters.events - start.events,
         answer_queue_ms: period.answer_queue_ms,
         quickest_answer_ms: world.holding.answer_times.min_latency_ms,
-        orders_not_sent: counters.orders_not_sent - start.orders_not_sent,
+        orders_unsent: counters.orders_unsent - start.orders_unsent,
         starts_unanswered: counters.starts_unanswered - start.starts_unanswered,
         open_starts: u64::from(world.runs.start_window.open()),
         start_limit: u64::from(world.runs.start_window.limit()),
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -6,6 +6,7 @@
 use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome, RefusalReason};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::{RunKey, RunState, StopReason};
+use cassiahoist_world::unsent::UnsentCause;
 
 use crate::health::record_failure;
 use crate::host_lists::apply_host_lists;
@@ -26,6 +27,9 @@
 /// Delay before a task is placed again after its start was refused, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 20;
 
+/// Delay before an order is issued again that this daemon could not send, in milliseconds.
+const UNSENT_RETRY_MS: u64 = 100;
+
 /// Applies the answers of hosts to orders.
 pub fn apply_order_answers(world: &mut World, now_ms: u64) {
     for completion in std::mem::take(&mut world.inbox.order_results) {
@@ -60,6 +64,7 @@
         Order::Stop { run: None, .. } | Order::SetPace { .. } => {}
         Order::Poll { .. } => {
             let host = completion.order.host;
+            let unsent_locally = completion.outcome.is_local_failure();
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
                 && accept_lists_in_order(world, host, completion.host_clock_ms)
             {
@@ -67,6 +72,9 @@
             }
             if let Some(host) = world.hosts.get_mut(host) {
                 schedule_poll(host, completion.host_clock_ms.is_some(), now_ms);
+                if unsent_locally {
+                    host.poll.next_ms = now_ms + UNSENT_RETRY_MS;
+                }
             }
         }
     }
@@ -103,6 +111,10 @@
     if completion.outcome == OrderOutcome::Unknown {
         world.runs.last_unanswered_at_ms = Some(now_ms);
     }
+    if completion.outcome.is_local_failure() {
+        world.counters.orders_unsent += 1;
+        return;
+    }
     let Some(host) = world.hosts.get_mut(completion.order.host) else { return };
     let name = host.entry.name.clone();
     if let Some(host_clock_ms) = completion.host_clock_ms {
@@ -117,12 +129,17 @@
                 world.log(log_record.with("silent_ms", now_ms - since_ms));
             }
         }
-        OrderOutcome::NotSent | OrderOutcome::Unknown => {
+        OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {
             // An answer received after this order was sent shows that the host is reachable.
             if host.unresponsive_since_ms.is_none() && host.last_answer_at_ms < completion.issued_at_ms {
                 host.unresponsive_since_ms = Some(now_ms);
                 let log_record = LogRecord::new(EventId::HostUnresponsive).with("host", name);
-                world.log(log_record.with("outcome", format!("{:?}", completion.outcome)));
+                world.log(match completion.outcome {
+                    OrderOutcome::NotSent(cause) => {
+                        log_record.with("outcome", "NotSent").with("cause", format!("{cause:?}"))
+                    }
+                    _ => log_record.with("outcome", "Unknown"),
+                });
             }
         }
     }
@@ -140,7 +157,7 @@
             run.confirmed_at_ms = now_ms;
         }
         OrderOutcome::Unknown => stop_run(world, key, StopReason::Unanswered, now_ms),
-        OrderOutcome::NotSent => undo_start(world, key, None, now_ms),
+        OrderOutcome::NotSent(cause) => undo_start(world, key, UnstartedCause::NotSent(*cause), now_ms),
         OrderOutcome::Refused(reason) => {
             match reason {
                 RefusalReason::Late => {
@@ -152,7 +169,7 @@
                 RefusalReason::Ticket => expire_ticket(world, key),
                 _ => {}
             }
-            undo_start(world, key, Some(*reason), now_ms);
+            undo_start(world, key, UnstartedCause::Refused(*reason), now_ms);
         }
     }
     if !matches!(outcome, OrderOutcome::Done { .. }) {
@@ -170,16 +187,34 @@
     }
 }
 
+/// Why a run never began.
+#[derive(Clone, Copy, Debug)]
+enum UnstartedCause {
+    /// The host refused the start order.
+    Refused(RefusalReason),
+    /// The start order was never sent.
+    NotSent(UnsentCause),
+}
+
 /// Removes a run that never began and requeues its task.
-///
-/// `reason` is `None` if the start order was never sent.
-fn undo_start(world: &mut World, key: RunKey, reason: Option<RefusalReason>, now_ms: u64) {
+fn undo_start(world: &mut World, key: RunKey, cause: UnstartedCause, now_ms: u64) {
     let Some(run) = drop_run(world, key) else { return };
-    world.counters.starts_refused += 1;
     let host = world.hosts.get(run.host).map(|host| host.entry.name.to_string()).unwrap_or_default();
     let log_record = LogRecord::new(EventId::StartRefused).with("task", run.name).with("run", run.run_number);
-    world.log(log_record.with("host", host).with("reason", format!("{reason:?}")));
-    let delay_ms = if run.stop_reason.is_none() { REFUSED_RETRY_MS } else { 0 };
+    let log_record = log_record.with("host", host);
+    let (log_record, retry_ms) = match cause {
+        UnstartedCause::Refused(reason) => {
+            world.counters.starts_refused += 1;
+            (log_record.with("reason", format!("{:?}", Some(reason))), REFUSED_RETRY_MS)
+        }
+        UnstartedCause::NotSent(cause) => {
+            world.counters.starts_unsent += 1;
+            let retry_ms = if cause.is_local() { UNSENT_RETRY_MS } else { REFUSED_RETRY_MS };
+            (log_record.with("reason", "None").with("cause", format!("{cause:?}")), retry_ms)
+        }
+    };
+    world.log(log_record);
+    let delay_ms = if run.stop_reason.is_none() { retry_ms } else { 0 };
     requeue_placed_task(world, key, run.task, now_ms + delay_ms);
 }
 
@@ -195,7 +230,7 @@
             let host = run.host;
             poll_immediately(world, host, now_ms);
         }
-        OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Unknown => {
+        OrderOutcome::Refused(_) | OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {
             run.next_stop_at_ms = now_ms + STOP_RETRY_MS;
         }
     }
--- a/crates/cassiahoist_settings/src/lib.rs
+++ b/crates/cassiahoist_settings/src/lib.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use cassiahoist_core::descriptors::{DEFAULT_MAX_DESCRIPTORS, MIN_MAX_DESCRIPTORS};
 use cassiahoist_core::prelude::*;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -33,7 +34,7 @@
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// Identity and thread count of the daemon.
+    /// Identity of the daemon and limits of its process.
     pub daemon: DaemonSettings,
     /// Addresses on which the daemon listens.
     pub listen: ListenSettings,
@@ -50,7 +51,7 @@
     pub log: LogSettings,
 }
 
-/// Identity and thread count of a daemon.
+/// Identity of a daemon and limits of its process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -62,6 +63,9 @@
     /// Number of threads that serve traffic, at least 1. The control thread is not counted.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
+    /// Most file descriptors that the process may open, those for files included.
+    #[serde(default = "default_max_descriptors")]
+    pub max_descriptors: usize,
 }
 
 /// One thread is enough for a daemon with a quarter of a core.
@@ -69,6 +73,10 @@
     1
 }
 
+fn default_max_descriptors() -> usize {
+    DEFAULT_MAX_DESCRIPTORS
+}
+
 /// Addresses on which a daemon listens; no two may be the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -155,6 +163,14 @@
     if settings.daemon.traffic_threads == 0 {
         return invalid("daemon.traffic_threads", "must be at least 1, since a thread is needed for traffic");
     }
+    if settings.daemon.max_descriptors < MIN_MAX_DESCRIPTORS {
+        return invalid(
+            "daemon.max_descriptors",
+            &format!(
+                "must be at least {MIN_MAX_DESCRIPTORS}, which callers, peers, the store and hosts share"
+            ),
+        );
+    }
     let bounds = &settings.bounds;
     if bounds.run_lease_ms < 1_000 {
         return invalid(
--- a/crates/cassiahoist_settings/tests/settings.rs
+++ b/crates/cassiahoist_settings/tests/settings.rs
@@ -21,6 +21,7 @@
 fn omitted_fields_get_defaults() {
     let settings = parse_settings("edge.yaml", VALID_SETTINGS).unwrap();
     assert_eq!(settings.daemon.traffic_threads, 1);
+    assert_eq!(settings.daemon.max_descriptors, 1_024);
     assert_eq!(settings.bounds.run_lease_ms, 6_000);
     assert_eq!(settings.log.level, LogLevel::Debug);
     assert_eq!(settings.platform.advice, None);
@@ -46,6 +47,8 @@
     assert!(text.starts_with("edge.yaml: bounds.grace_ms: "), "{text}");
     let text = error(&VALID_SETTINGS.replace("daemon: {", "daemon: {traffic_threads: 0, "));
     assert!(text.starts_with("edge.yaml: daemon.traffic_threads: "), "{text}");
+    let text = error(&VALID_SETTINGS.replace("daemon: {", "daemon: {max_descriptors: 511, "));
+    assert!(text.starts_with("edge.yaml: daemon.max_descriptors: "), "{text}");
 }
 
 proptest! {
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -8,6 +8,7 @@
 use cassiahoist_world::orders::{HostOrder, OrderCompletion, OrderOutcome};
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::store::{StoreCall, StoreCompletion, StoreFailure, StoreOp, StoreReply};
+use cassiahoist_world::unsent::UnsentCause;
 use http_body_util::BodyExt;
 use rand::Rng;
 
@@ -149,7 +150,12 @@
         };
         if unreachable {
             let report_at_ms = deadline_ms.min(self.now_ms + CONNECT_TIMEOUT_MS);
-            return self.send_order_outcome(open_call, OrderOutcome::NotSent, None, report_at_ms);
+            return self.send_order_outcome(
+                open_call,
+                OrderOutcome::NotSent(UnsentCause::ConnectTimeout),
+                None,
+                report_at_ms,
+            );
         }
         let late_ms = if late { self.rng.random_range(2_000..8_000) } else { 0 };
         match self.daemons[daemon].link.queue_order(self.now_ms) {
--- a/crates/cassiahoist_standins/tests/systems/load.rs
+++ b/crates/cassiahoist_standins/tests/systems/load.rs
@@ -6,6 +6,7 @@
 use cassiahoist_world::holding::HoldingEvent;
 use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
 use cassiahoist_world::store::KeySpace;
+use cassiahoist_world::unsent::UnsentCause;
 
 use crate::support::{TestDaemon, entry_change, host_entry, step};
 
@@ -90,10 +91,10 @@
     assert_eq!(starts.len(), 16, "as many tasks as fit on two hosts");
     let world = holder.app.world();
     assert_eq!(world.runs.start_window.open(), 16);
-    complete_order(&mut holder, starts[0].clone(), OrderOutcome::NotSent, 0);
+    complete_order(&mut holder, starts[0].clone(), OrderOutcome::NotSent(UnsentCause::LocalResources), 0);
     complete_order(&mut holder, starts[1].clone(), OrderOutcome::Unknown, 0);
     let load = finish_period(&mut holder);
-    assert_eq!(field(&load, "orders_not_sent"), 1);
+    assert_eq!(field(&load, "orders_unsent"), 1);
     assert_eq!(field(&load, "starts_unanswered"), 1);
     assert!(field(&load, "events") >= 2);
     assert_eq!(field(&load, "jobs"), 1);
@@ -105,7 +106,7 @@
     assert_eq!(field(&load, "unresponsive_hosts"), unresponsive.count() as u64);
     assert_eq!(field(&load, "start_limit"), u64::from(holder.app.world().runs.start_window.limit()));
     let later = finish_period(&mut holder);
-    assert_eq!(field(&later, "orders_not_sent"), 0, "counted once");
+    assert_eq!(field(&later, "orders_unsent"), 0, "counted once");
 }
 
 /// The control thread gets too little processor time: answers that have arrived wait for a tick.
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -13,3 +13,4 @@
 mod slow_holder;
 mod store_watch;
 mod support;
+mod unsent_orders;
--- a/crates/cassiahoist_traffic/src/advice_client.rs
+++ b/crates/cassiahoist_traffic/src/advice_client.rs
@@ -54,7 +54,7 @@
             Exchange::Response(response) => {
                 self.protocol.decode_reply(response.status().as_u16(), response.body())
             }
-            Exchange::NotSent | Exchange::NoResponse => None,
+            Exchange::NotSent(_) | Exchange::NoResponse => None,
         }
     }
 }
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -33,8 +33,8 @@
 /// Largest body that the server reads, in bytes. The configuration may set a lower limit.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
-/// Time for a caller to send a request's headers.
-const HEADER_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(15);
+/// Time for a client to send a request's headers, after which its connection is closed.
+pub(crate) const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Serves callers in one protocol.
 #[derive(Clone, Debug)]
--- a/crates/cassiahoist_traffic/src/host_client.rs
+++ b/crates/cassiahoist_traffic/src/host_client.rs
@@ -4,6 +4,7 @@
 
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{HostOrder, OrderCompletion, OrderOutcome};
+use cassiahoist_world::unsent::UnsentCause;
 
 use crate::clock::MonotonicClock;
 use crate::control_link::ControlLink;
@@ -32,6 +33,24 @@
         Self { protocol, http: HttpClient::new().with_max_connections(MAX_CONNECTIONS), clock, control }
     }
 
+    /// Sets the limit of open connections to all hosts together.
+    #[must_use]
+    pub fn with_max_open_connections(self, max_open_connections: usize) -> Self {
+        Self { http: self.http.with_max_open_connections(max_open_connections), ..self }
+    }
+
+    /// Returns the limit of open connections to all hosts together.
+    #[must_use]
+    pub fn max_open_connections(&self) -> usize {
+        self.http.max_open_connections()
+    }
+
+    /// Returns the number of open connections to hosts, those that are being opened or closed included.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.http.open_connections()
+    }
+
     /// Sends an order without waiting for its reply.
     ///
     /// The outcome is sent to control as [`Event::OrderCompleted`].
@@ -56,7 +75,7 @@
     async fn exchange(&self, order: &HostOrder, issued_at_ms: u64) -> HostReply {
         let without_reply = |outcome| HostReply { clock_ms: None, outcome };
         let Ok(request) = self.protocol.encode_order(order) else {
-            return without_reply(OrderOutcome::NotSent);
+            return without_reply(OrderOutcome::NotSent(UnsentCause::Unencodable));
         };
         let timeout = Duration::from_millis(order.timeout_ms);
         let is_timely = || self.clock.now_ms() <= issued_at_ms + order.timeout_ms;
@@ -64,7 +83,7 @@
             Exchange::Response(response) => {
                 self.protocol.decode_reply(order, response.status().as_u16(), response.body())
             }
-            Exchange::NotSent => without_reply(OrderOutcome::NotSent),
+            Exchange::NotSent(cause) => without_reply(OrderOutcome::NotSent(cause)),
             Exchange::NoResponse => without_reply(OrderOutcome::Unknown),
         }
     }
--- a/crates/cassiahoist_traffic/src/operator_server.rs
+++ b/crates/cassiahoist_traffic/src/operator_server.rs
@@ -10,10 +10,10 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-use crate::caller_server::text_response;
+use crate::caller_server::{HEADER_TIMEOUT, text_response};
 use crate::control_link::{ControlLink, View};
 use crate::declarations::{DECLARATIONS_PATH, VersionedDeclarations, put_response};
 use crate::protocol::FullResponse;
@@ -45,8 +45,10 @@
                 let server = server.clone();
                 async move { Ok::<_, Infallible>(server.respond(request).await) }
             });
-            let connection =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
             drop(tokio::spawn(connection));
         }
     }
--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -21,10 +21,14 @@
 /// Later ones are dropped, since the store provides a fallback for each.
 const MAX_QUEUED_MESSAGES: usize = 1_024;
 
-/// Sends messages to peers, over one queue and connection for each address.
+/// Default time without messages after which the connection to a peer is closed.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Sends messages to peers, over one queue and connection for each address in use.
 #[derive(Clone, Debug)]
 pub struct PeerLinks {
     local: PeerSender,
+    idle_timeout: Duration,
     queues: Arc<Mutex<FxHashMap<String, mpsc::Sender<PeerMessage>>>>,
 }
 
@@ -32,7 +36,13 @@
     /// Creates links that name `local` as the sender of messages.
     #[must_use]
     pub fn new(local: PeerSender) -> Self {
-        Self { local, queues: Arc::default() }
+        Self { local, idle_timeout: DEFAULT_IDLE_TIMEOUT, queues: Arc::default() }
+    }
+
+    /// Sets the time without messages after which the connection to a peer is closed.
+    #[must_use]
+    pub fn with_idle_timeout(self, idle_timeout: Duration) -> Self {
+        Self { idle_timeout, ..self }
     }
 
     /// Queues a message for the peer at `address`, `ip:port`.
@@ -45,28 +55,43 @@
         }
     }
 
-    /// Returns the queue of an address, opened at first use. `None` if the address is malformed.
+    /// Returns the queue of an address, opened if it is not in use. `None` if the address is malformed.
     fn get_or_open_queue(&self, address: &str) -> Option<mpsc::Sender<PeerMessage>> {
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(queue) = queues.get(address) {
+        if let Some(queue) = queues.get(address).filter(|queue| !queue.is_closed()) {
             return Some(queue.clone());
         }
+        queues.retain(|_, queue| !queue.is_closed());
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .ok()?
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true);
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        drop(tokio::spawn(deliver_messages(endpoint, self.local.clone(), messages)));
+        drop(tokio::spawn(deliver_messages(endpoint, self.local.clone(), self.idle_timeout, messages)));
         queues.insert(address.into(), queue.clone());
         Some(queue)
     }
 }
 
-/// Delivers messages in order, all that are queued in one request.
-async fn deliver_messages(endpoint: Endpoint, local: PeerSender, mut messages: mpsc::Receiver<PeerMessage>) {
+/// Delivers messages in order, all that are queued in one request, until none came for `idle_timeout`.
+async fn deliver_messages(
+    endpoint: Endpoint,
+    local: PeerSender,
+    idle_timeout: Duration,
+    mut messages: mpsc::Receiver<PeerMessage>,
+) {
     let mut client = PeerClient::new(endpoint.connect_lazy());
     let mut batch = Vec::new();
-    while messages.recv_many(&mut batch, MAX_QUEUED_MESSAGES).await > 0 {
+    loop {
+        match tokio::time::timeout(idle_timeout, messages.recv_many(&mut batch, MAX_QUEUED_MESSAGES)).await {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(_idle) => {
+                // Messages that were queued meanwhile are still delivered.
+                messages.close();
+                continue;
+            }
+        }
         let Ok(request) = encode_delivery(&local.incarnation, &local.address, &batch) else {
             batch.clear();
             continue;
--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -2,6 +2,7 @@
 
 use cassiahoist_world::event::Event;
 use cassiahoist_world::store::{StoreCall, StoreCompletion, StoreFailure, StoreOp, StoreReply};
+use cassiahoist_world::unsent::UnsentCause;
 
 use crate::clock::MonotonicClock;
 use crate::control_link::ControlLink;
@@ -62,13 +63,16 @@
         after: Option<&str>,
         deadline_ms: u64,
     ) -> Result<StorePage, StoreFailure> {
-        let request = self.protocol.encode_op(op, after).map_err(|_unencodable| StoreFailure::NotApplied)?;
+        let request = self
+            .protocol
+            .encode_op(op, after)
+            .map_err(|_unencodable| StoreFailure::NotSent(UnsentCause::Unencodable))?;
         let timeout = self.clock.duration_until(deadline_ms);
         match self.http.exchange(&self.address, request, timeout).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(op, response.status().as_u16(), response.body())
             }
-            Exchange::NotSent => Err(StoreFailure::NotApplied),
+            Exchange::NotSent(cause) => Err(StoreFailure::NotSent(cause)),
             Exchange::NoResponse => Err(StoreFailure::Unknown),
         }
     }
--- a/crates/cassiahoist_traffic/tests/host_client.rs
+++ b/crates/cassiahoist_traffic/tests/host_client.rs
@@ -11,6 +11,7 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::hosts::HostKey;
 use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome};
+use cassiahoist_world::unsent::UnsentCause;
 use hyper::Request;
 use tokio::net::TcpListener;
 
@@ -53,5 +54,5 @@
     let Ok(ControlInput::Event(Event::OrderCompleted(completion))) = input.await.unwrap() else {
         panic!("the host client reported no completion")
     };
-    assert_eq!(completion.outcome, OrderOutcome::NotSent);
+    assert_eq!(completion.outcome, OrderOutcome::NotSent(UnsentCause::Expired));
 }
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -34,8 +34,12 @@
     pub jobs_ended: u64,
     /// Start orders issued, including those that could not be sent.
     pub starts: u64,
-    /// Start orders that a host refused or that were never sent.
+    /// Start orders that a host refused.
     pub starts_refused: u64,
+    /// Start orders that were never sent.
+    pub starts_unsent: u64,
+    /// Orders, starts included, that this daemon could not send, for a reason of its own.
+    pub orders_unsent: u64,
     /// Runs in the table that completed. A run whose row was removed before its end arrived is not counted.
     pub runs_done: u64,
     /// Runs in the table that failed, whether the task or the host caused it.
@@ -48,14 +52,14 @@
     pub polls: u64,
     /// Calls to the store, including watches.
     pub store_calls: u64,
+    /// Calls to the store that this daemon could not send, for a reason of its own.
+    pub store_calls_unsent: u64,
     /// Calls for advice by this holder, including those that other daemons make for it.
     pub advice_calls: u64,
     /// Claims on the slice that this daemon won.
     pub claims: u64,
     /// Messages that the control thread received.
     pub events: u64,
-    /// Orders to hosts that were never sent.
-    pub orders_not_sent: u64,
     /// Start orders that hosts did not answer.
     pub starts_unanswered: u64,
     /// Log lines that were dropped.
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod store;
 pub mod store_connection;
 pub mod store_writes;
+pub mod unsent;
 pub mod world;
 
 /// Re-exports the types that most systems use.
--- a/crates/cassiahoist_world/src/load.rs
+++ b/crates/cassiahoist_world/src/load.rs
@@ -39,7 +39,7 @@
     /// Latency of the quickest host, in milliseconds; 0 before it is measured.
     pub quickest_answer_ms: u64,
     /// Orders that were never sent.
-    pub orders_not_sent: u64,
+    pub orders_unsent: u64,
     /// Start orders without an answer.
     pub starts_unanswered: u64,
     /// Start orders that were issued and not answered by the end of the period.
@@ -79,7 +79,7 @@
             ("events", self.events),
             ("answer_queue_ms", self.answer_queue_ms),
             ("quickest_answer_ms", self.quickest_answer_ms),
-            ("orders_not_sent", self.orders_not_sent),
+            ("orders_unsent", self.orders_unsent),
             ("starts_unanswered", self.starts_unanswered),
             ("open_starts", self.open_starts),
             ("start_limit", self.start_limit),
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -5,6 +5,7 @@
 use cassiahoist_core::prelude::*;
 
 use crate::keys::{HostKey, RunKey};
+use crate::unsent::UnsentCause;
 
 /// What a host is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -167,11 +168,19 @@
     /// The host refused it and did nothing.
     Refused(RefusalReason),
     /// The order was never sent.
-    NotSent,
+    NotSent(UnsentCause),
     /// The order was sent without an answer; it may take effect now or later.
     Unknown,
 }
 
+impl OrderOutcome {
+    /// Returns whether the cause lies with this daemon and says nothing about the host.
+    #[must_use]
+    pub fn is_local_failure(&self) -> bool {
+        matches!(self, Self::NotSent(cause) if cause.is_local())
+    }
+}
+
 /// An order with its result.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OrderCompletion {
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -11,6 +11,7 @@
 use crate::config::ConfigRecord;
 use crate::hosts::HostEntry;
 use crate::record::{ClaimRecord, HostRoster, JobRecord, MemberRecord, ProgressRecord, TermRecord};
+use crate::unsent::UnsentCause;
 
 /// A range of keys that is listed and watched as one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -296,12 +297,22 @@
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreFailure {
-    /// The call had no effect and never will.
+    /// The store did not apply the call and never will.
     NotApplied,
+    /// The call was never sent, so it has no effect.
+    NotSent(UnsentCause),
     /// The call may have taken effect, or may do so later.
     Unknown,
 }
 
+impl StoreFailure {
+    /// Returns whether the cause lies with this daemon and says nothing about the store.
+    #[must_use]
+    pub fn is_local_failure(self) -> bool {
+        matches!(self, Self::NotSent(cause) if cause.is_local())
+    }
+}
+
 /// Result of a call to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreCompletion {
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -101,7 +101,7 @@
                 let text = String::from_utf8_lossy(response.body()).into_owned();
                 (response.status().as_u16(), text)
             }
-            Exchange::NotSent | Exchange::NoResponse => (0, String::new()),
+            Exchange::NotSent(_) | Exchange::NoResponse => (0, String::new()),
         }
     }
 
