Write the log to the descriptor of standard output

Cause: the log's thread wrote to a duplicate of the descriptor, and the platform collects what is written to descriptor 1.

Change: an output that writes to descriptor 1 and has no buffer of its own.

--- a/crates/cassiahoist_standins/src/daemon_process.rs
+++ b/crates/cassiahoist_standins/src/daemon_process.rs
@@ -25,6 +25,12 @@
 }
 
 impl DaemonProcess {
+    /// Returns the number by which the operating system knows the process.
+    #[must_use]
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process and waits until it has exited.
     ///
     /// # Errors
--- a/crates/cassiahoist_telemetry/src/log.rs
+++ b/crates/cassiahoist_telemetry/src/log.rs
@@ -3,9 +3,7 @@
 //! Lines are collected in a bounded buffer, which a separate thread writes out. If the buffer is full, lines are dropped
 //! and counted, so that no other thread waits for the log.
 
-use std::fs::File;
 use std::io::{self, Write};
-use std::os::fd::AsFd;
 use std::sync::Mutex;
 
 use cassiahoist_core::prelude::*;
@@ -13,6 +11,7 @@
 
 use crate::line_buffer::{LineAssembler, LineBuffer, Priority};
 use crate::line_writer::write_buffered_lines;
+use crate::standard_output::StandardOutput;
 
 /// Names and values of one event's fields.
 struct Fields<'f>(&'f [(&'static str, String)]);
@@ -43,11 +42,9 @@
     /// Each line names `daemon`.
     ///
     /// # Errors
-    /// Returns the system's error if standard output can't be used or the thread can't be started.
+    /// Returns the system's error if the thread can't be started.
     pub fn new(min_severity: Severity, daemon: &Incarnation) -> io::Result<Self> {
-        // Unlike `Stdout`, a file has no buffer that could split or join the writes.
-        let output = File::from(io::stdout().as_fd().try_clone_to_owned()?);
-        Self::with_output(min_severity, daemon, output)
+        Self::with_output(min_severity, daemon, StandardOutput)
     }
 
     /// Starts the writer thread for another output.
--- a/tests/programs.rs
+++ b/tests/programs.rs
@@ -108,3 +108,26 @@
     let output = run_until(tool, &["declarations", "diff", &operators_addresses[1], &file], 0);
     assert_eq!(String::from_utf8_lossy(&output.stdout), "no difference\n");
 }
+
+/// The log went to a duplicate of standard output, which is not where the platform collects it.
+#[test]
+fn daemon_logs_through_the_descriptor_of_standard_output() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let (_platform, addresses) = runtime.block_on(SharedPlatform::start(1)).unwrap();
+    let folder = std::env::temp_dir().join(format!("cassiahoist-log-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let daemon = start_daemon(Path::new(env!("CARGO_BIN_EXE_cassiahoist")), &folder, 0, &addresses).unwrap();
+    let log_file = folder.join("edge-0.log");
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while !std::fs::read_to_string(&log_file).unwrap().contains('\n') {
+        assert!(Instant::now() < deadline, "no line is logged");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", daemon.process_id())).unwrap();
+    let open_for_log: Vec<_> = descriptors
+        .map(|descriptor| descriptor.unwrap())
+        .filter(|descriptor| std::fs::read_link(descriptor.path()).is_ok_and(|target| target == log_file))
+        .map(|descriptor| descriptor.file_name())
+        .collect();
+    assert_eq!(open_for_log, ["1"]);
+}
