Judge stalled runs only by recent lists of their hosts

Cause: the time without progress counted until now, though the last list of the host was old: polls are held longer and come late on a full link, and short answers to start orders passed for signs that the host would have told of progress. A list that arrives late counted as one of its arrival. Class: a failure of the holder's own taken for one of the hosts.

Change: runs are judged only while their host's lists are younger than the time between two polls, and by the time between the lists on the host's own clock.

--- a/crates/cassiahoist_runs/src/adopt.rs
+++ b/crates/cassiahoist_runs/src/adopt.rs
@@ -24,8 +24,10 @@
         return None;
     }
     let key = reserve_run(world, task, host, report.run_number, RunState::Running, now_ms)?;
+    let clock_ms = world.hosts.get(host)?.lists_clock_ms;
     if let Some(run) = world.runs.rows.get_mut(key) {
         run.listed_by_host = true;
+        run.progress_clock_ms = clock_ms;
         run.progress_percent = report.progress_percent;
     }
     if let Some(task) = world.jobs.tasks.get_mut(task)
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -36,6 +36,8 @@
     for report in &lists.ended {
         apply_end_report(world, key, report, now_ms);
     }
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    host.lists_received_at_ms = now_ms;
     let mut listed = FxHashSet::default();
     let mut worst_tail_percent = None;
     let mut orphans = OrphanRuns::default();
@@ -127,15 +129,18 @@
     let Some(key) = find_run(world, host, &report.task, report.run_number) else {
         return adopt_or_stop_run(world, host, report, now_ms);
     };
+    let clock_ms = world.hosts.get(host)?.lists_clock_ms;
     let run = world.runs.rows.get_mut(key)?;
     if run.state == RunState::Starting {
         run.state = RunState::Running;
         run.confirmed_at_ms = now_ms;
+        run.progress_clock_ms = clock_ms;
     }
     run.listed_by_host = true;
     if run.progress_percent != report.progress_percent {
         run.progress_percent = report.progress_percent;
         run.last_progress_at_ms = now_ms;
+        run.progress_clock_ms = clock_ms;
     }
     let task = run.task;
     if !report.checkpoint.is_empty()
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -103,6 +103,7 @@
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
+    host.lists_received_at_ms = 0;
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
     let was_listed = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed_by_host);
     let runs: Vec<RunKey> = host.runs.iter().filter(was_listed).copied().collect();
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -36,6 +36,7 @@
         next_stop_at_ms: now_ms,
         progress_percent: 0,
         last_progress_at_ms: now_ms,
+        progress_clock_ms: 0,
         pace_percent: 100,
     };
     let key = world.runs.rows.insert(run);
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -58,7 +58,7 @@
     match completion.order.order {
         Order::Start { run, .. } => {
             world.runs.start_window.count_answered();
-            apply_start_answer(world, run, &completion.outcome, now_ms);
+            apply_start_answer(world, run, &completion, now_ms);
         }
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
         Order::Stop { run: None, .. } | Order::SetPace { .. } => {}
@@ -145,7 +145,8 @@
     }
 }
 
-fn apply_start_answer(world: &mut World, key: RunKey, outcome: &OrderOutcome, now_ms: u64) {
+fn apply_start_answer(world: &mut World, key: RunKey, completion: &OrderCompletion, now_ms: u64) {
+    let (outcome, host_clock_ms) = (&completion.outcome, completion.host_clock_ms);
     let Some(run) = world.runs.rows.get_mut(key) else { return };
     run.order_in_flight = false;
     let (host, task, run_number) = (run.host, run.task, run.run_number);
@@ -155,6 +156,7 @@
                 run.state = RunState::Running;
             }
             run.confirmed_at_ms = now_ms;
+            run.progress_clock_ms = run.progress_clock_ms.max(host_clock_ms.unwrap_or_default());
         }
         OrderOutcome::Unknown => stop_run(world, key, StopReason::Unanswered, now_ms),
         OrderOutcome::NotSent(cause) => undo_start(world, key, UnstartedCause::NotSent(*cause), now_ms),
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -7,7 +7,7 @@
 use cassiahoist_world::prelude::*;
 
 /// How long a host may hold a poll until a run ends, in milliseconds. It bounds the age of progress reports.
-const POLL_WAIT_MS: u64 = 800;
+pub(crate) const POLL_WAIT_MS: u64 = 800;
 
 /// Shorter wait while answers of hosts are being lost, in milliseconds. A lost answer then costs less time.
 const LOSSY_POLL_WAIT_MS: u64 = 350;
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -5,13 +5,18 @@
 use cassiahoist_world::runs::{Run, RunKey, RunState, StopReason};
 
 use crate::health::record_failure;
+use crate::poll::POLL_WAIT_MS;
 
 /// Shortest time without progress after which a run is stopped, in milliseconds.
 ///
-/// A run whose earlier progress was slower gets more time, see [`STALL_FACTOR`]. A host that has not answered for
-/// this long reports no progress, so its runs are not judged.
+/// A run whose earlier progress was slower gets more time, see [`STALL_FACTOR`].
 const MIN_STALL_TIMEOUT_MS: u64 = 1_300;
 
+/// Age of a host's lists from which its runs are not judged, in milliseconds.
+///
+/// Polls that are held for [`POLL_WAIT_MS`] keep the lists younger. Answers to other orders report no progress.
+const MAX_LISTS_AGE_MS: u64 = POLL_WAIT_MS + 100;
+
 /// Bounds on the time until a run reports its first progress, in milliseconds.
 ///
 /// Within them the timeout is the mean run time of the queue. It is the upper bound if that is unknown.
@@ -23,9 +28,23 @@
 /// Stall timeout, as a multiple of a run's mean time per percent of progress.
 const STALL_FACTOR: u64 = 8;
 
+/// Returns for how long a run has made no progress, in milliseconds.
+///
+/// Lists that arrive late, as on a full link, tell less than the time of their arrival suggests. So the time between the
+/// lists on the host's own clock bounds it.
+fn idle_ms(world: &World, run: &Run, now_ms: u64) -> u64 {
+    let by_arrival_ms = now_ms.saturating_sub(run.last_progress_at_ms);
+    let Some(host) = world.hosts.get(run.host) else { return by_arrival_ms };
+    if run.progress_clock_ms == 0 || host.lists_clock_ms == 0 {
+        return by_arrival_ms;
+    }
+    let lists_age_ms = now_ms.saturating_sub(host.lists_received_at_ms);
+    by_arrival_ms.min((host.lists_clock_ms + lists_age_ms).saturating_sub(run.progress_clock_ms))
+}
+
 /// Returns whether a run has made no progress for longer than its stall timeout.
 fn is_stalled(world: &World, run: &Run, now_ms: u64) -> bool {
-    let idle_ms = now_ms.saturating_sub(run.last_progress_at_ms);
+    let idle_ms = idle_ms(world, run, now_ms);
     if run.progress_percent == 0 {
         let mean_run_ms = world.mean_run_ms(run.task).unwrap_or(*FIRST_PROGRESS_TIMEOUT_MS.end());
         let timeout_ms =
@@ -65,16 +84,16 @@
 
 /// Returns whether a run should be progressing.
 ///
-/// An unresponsive host, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
+/// An unresponsive host, outdated lists, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
 /// progress, so none of them counts as a stall.
 fn expects_progress(world: &World, run: &Run, now_ms: u64) -> bool {
     let Some((_, step, spec)) = world.jobs.task_context(run.task) else { return false };
-    let responsive = world.hosts.get(run.host).is_some_and(|host| {
-        host.unresponsive_since_ms.is_none() && now_ms < host.last_answer_at_ms + MIN_STALL_TIMEOUT_MS
+    let is_known = world.hosts.get(run.host).is_some_and(|host| {
+        host.unresponsive_since_ms.is_none() && now_ms < host.lists_received_at_ms + MAX_LISTS_AGE_MS
     });
     let gang_starting = spec.gang && run.progress_percent == 0;
     let serving = spec.runs_until_cancelled && run.progress_percent >= 100;
-    responsive
+    is_known
         && !gang_starting
         && !serving
         && !spec.filler
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -124,6 +124,8 @@
     pub last_end_recorded: u64,
     /// The host's own clock at the latest lists that were applied, in milliseconds; 0 before the first.
     pub lists_clock_ms: u64,
+    /// When these lists arrived, in monotonic milliseconds; 0 before the first.
+    pub lists_received_at_ms: u64,
     /// Resources reserved for the runs on the host.
     pub reserved: Resources,
     /// Runs on the host that have no row.
@@ -160,6 +162,7 @@
             last_end_applied: 0,
             last_end_recorded: 0,
             lists_clock_ms: 0,
+            lists_received_at_ms: 0,
             reserved: Resources::default(),
             orphans: OrphanRuns::default(),
             runs: FxHashSet::default(),
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -69,6 +69,8 @@
     pub progress_percent: u32,
     /// When the progress last changed, in monotonic milliseconds.
     pub last_progress_at_ms: u64,
+    /// The host's clock when it last reported other progress or confirmed the start, in milliseconds; 0 if unknown.
+    pub progress_clock_ms: u64,
     /// Share of processor time that the run was last given, in percent. It is below 100 only for fillers.
     pub pace_percent: u8,
 }
