Wait for registrations to settle before a claim

Cause: a daemon that has just started lists the cell before the others have registered. It counts itself as the strongest and claims at once, and a claim is never looked at again. A restarted holder takes back the claim of its earlier incarnation at once, however weak it is.

Ruled out: a wrong order of the ranks. claim_rank is right once the members are known.

Change: a claim of a vacant slice is due 500 ms after the daemon's own registration and that of any daemon with greater limits at the earliest: 300 ms for starts at the same time, 200 ms for a start and a registration. The wait ends after one second, so that a machine that restarts again and again holds up nobody. Daemons of equal limits do not wait for each other. The last holder with its tables does not wait. A restarted holder leaves its earlier claim to the end of its lease if a daemon with greater limits is registered. The last holder is left out of the ranks by incarnation and no longer by name, since after a loss of power it is a candidate like any other.

The fixtures of three older claim tests and of one slow-holder test now register the daemon, as a running one always is; their bounds are unchanged.

--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -21,6 +21,22 @@
 /// Delay of a claim for each stronger daemon, in milliseconds. It makes colliding claims rare.
 const RANK_DELAY_MS: u64 = 60;
 
+/// Greatest difference between the starts of daemons that start together, in milliseconds.
+const START_SPREAD_MS: u64 = 300;
+
+/// Time from the start of a daemon until its registration is known to the others, in milliseconds.
+///
+/// It allows for a slow start and one retry of a call to the store.
+const REGISTRATION_MS: u64 = 200;
+
+/// Time after a registration during which stronger daemons may still be about to register, in milliseconds.
+const SETTLING_MS: u64 = START_SPREAD_MS + REGISTRATION_MS;
+
+/// Longest time for which a claim waits for registrations to settle, in milliseconds.
+///
+/// The first daemon waits for the last of those that start together, but not for one that restarts again and again.
+const MAX_SETTLING_MS: u64 = 2 * SETTLING_MS;
+
 /// Extra delay of claims by a daemon that was a slow holder, in milliseconds.
 const SLOW_HOLDER_DELAY_MS: u64 = 2_000;
 
@@ -64,34 +80,55 @@
     let retry_at_ms =
         if holding.claim_sent_at_ms == 0 { 0 } else { holding.claim_sent_at_ms + RETRY_DELAY_MS };
     let due_at_ms = match (&holding.claim, holding.vacant_since_ms) {
-        // An earlier incarnation of this daemon held the slice and has ended.
-        (Some((claim, _)), _) if claim.holder.member == own.member && claim.holder != *own => retry_at_ms,
+        // An earlier incarnation of this daemon held the slice and has ended. Its claim ends with its lease if a stronger
+        // daemon can take over.
+        (Some((claim, _)), _) if claim.holder.member == own.member && claim.holder != *own => {
+            if world.members.has_stronger(world.local.limits) {
+                return ClaimDecision::Skip;
+            }
+            Some(retry_at_ms)
+        }
         (None, Some(vacant_since_ms)) => {
-            retry_at_ms.max(vacant_since_ms + claim_delay_ms(world, vacant_since_ms, now_ms))
+            claim_due_at_ms(world, vacant_since_ms, now_ms).map(|due_at_ms| due_at_ms.max(retry_at_ms))
         }
-        _ => return ClaimDecision::Skip,
+        _ => None,
     };
+    let Some(due_at_ms) = due_at_ms else { return ClaimDecision::Skip };
     if now_ms < due_at_ms {
         return ClaimDecision::WaitUntil(due_at_ms);
     }
     ClaimDecision::Claim(holding.claim.as_ref().map_or(0, |(_, revision)| *revision))
 }
 
-/// Returns how long this daemon leaves a vacant slice to others, in milliseconds.
-fn claim_delay_ms(world: &World, vacant_since_ms: u64, now_ms: u64) -> u64 {
+/// Returns until when this daemon leaves a vacant slice to others, in monotonic milliseconds.
+///
+/// `None` if it is not registered.
+fn claim_due_at_ms(world: &World, vacant_since_ms: u64, now_ms: u64) -> Option<u64> {
     let holding = &world.holding;
     let own = &world.local.incarnation;
     let yields = now_ms < holding.yield_until_ms;
     if holding.last_holder.as_ref() == Some(own) && !yields {
-        return 0;
+        return Some(vacant_since_ms);
     }
-    let last_member = holding.last_holder.as_ref().map(|holder| &holder.member);
-    let left_out = last_member.filter(|member| **member != own.member);
+    let left_out = holding.last_holder.as_ref().filter(|holder| **holder != *own);
+    let settled_at_ms = settled_at_ms(world, left_out, vacant_since_ms)?;
     let claim_rank = world.members.claim_rank(&own.member, world.local.limits, left_out);
     let rank_delay_ms = claim_rank as u64 * RANK_DELAY_MS;
     let slow_delay_ms = if yields { SLOW_HOLDER_DELAY_MS } else { 0 };
     let lead_ms = if is_last_holder_alive(world, vacant_since_ms) { LAST_HOLDER_LEAD_MS } else { 0 };
-    rank_delay_ms + slow_delay_ms + lead_ms
+    Some((vacant_since_ms + lead_ms).max(settled_at_ms) + rank_delay_ms + slow_delay_ms)
+}
+
+/// Returns when this daemon may rely on the registrations that it knows, in monotonic milliseconds.
+///
+/// Until then, stronger daemons that started together with it may not have registered. Each of them waits as long after
+/// its own registration. `None` if this daemon is not registered.
+fn settled_at_ms(world: &World, left_out: Option<&Incarnation>, vacant_since_ms: u64) -> Option<u64> {
+    let registered_at_ms = world.members.registered_at_ms(&world.local.incarnation)?;
+    let stronger_at_ms = world.members.stronger_registered_at_ms(world.local.limits, left_out);
+    let latest_at_ms = registered_at_ms.max(stronger_at_ms.unwrap_or_default());
+    let latest_end_ms = registered_at_ms.max(vacant_since_ms) + MAX_SETTLING_MS;
+    Some((latest_at_ms + SETTLING_MS).min(latest_end_ms))
 }
 
 /// Returns whether the last holder's claim ended with its lease although its process runs.
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -75,7 +75,7 @@
             if world.holding.is_holding() && world.members.get(&record.incarnation.member) != Some(&record) {
                 world.log(LogRecord::new(EventId::MemberJoined).with("member", &record.incarnation));
             }
-            world.members.insert(record);
+            world.members.insert(record, now_ms);
         }
         StoreValue::Unreadable { reason } => {
             let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{:?}", item.key));
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -59,6 +59,10 @@
     pub workload: Workload,
     /// Faults with the time of their injection, in milliseconds.
     pub faults: Vec<(u64, Fault)>,
+    /// Limits of the daemons' machines, by number of the daemon; those beyond the end have the default.
+    pub machine_limits: Vec<MachineLimits>,
+    /// Time within which daemons that start together start, in milliseconds; 0 for all at once.
+    pub start_spread_ms: u64,
 }
 
 impl Default for Scenario {
@@ -71,6 +75,8 @@
             mean_job_interval_ms: 250,
             workload: Workload::Plain,
             faults: Vec::new(),
+            machine_limits: Vec::new(),
+            start_spread_ms: 0,
         }
     }
 }
@@ -186,7 +192,10 @@
             fault_history: faults::FaultHistory::default(),
         };
         for daemon in 0..sim.daemons.len() {
-            sim.start_daemon(daemon);
+            match sim.draw_start_delay_ms() {
+                0 => sim.start_daemon(daemon),
+                delay_ms => sim.daemons[daemon].restart_at_ms = Some(sim.now_ms + delay_ms),
+            }
         }
         sim
     }
@@ -227,19 +236,26 @@
         }
     }
 
+    /// Draws how much later than the first a daemon starts that starts together with others, in milliseconds.
+    fn draw_start_delay_ms(&mut self) -> u64 {
+        let spread_ms = self.scenario.start_spread_ms;
+        if spread_ms == 0 { 0 } else { self.rng.random_range(0..=spread_ms) }
+    }
+
     /// Starts a daemon's process as a new incarnation.
     pub fn start_daemon(&mut self, number: usize) {
         let daemon_started_unix_ms = TIME_ZERO_UNIX_MS + self.now_ms;
         let daemon = &mut self.daemons[number];
         daemon.started_unix_ms = daemon_started_unix_ms;
         daemon.restart_at_ms = None;
+        let limits = self.scenario.machine_limits.get(number).copied().unwrap_or_default();
         let Ok(domain) = FailureDomain::new("obihiro") else { return };
         daemon.app = Some(build_daemon_app(LocalDaemon {
             incarnation: Incarnation { member: daemon.name.clone(), started_unix_ms: daemon_started_unix_ms },
             domain,
             peer_address: peer_address(number),
             bounds: Bounds { run_lease_ms: MAX_RUN_LEASE_MS, ..Bounds::default() },
-            limits: MachineLimits::default(),
+            limits,
             stop_state: StopState::Serving,
             unix_ms: daemon_started_unix_ms,
         }));
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -1,5 +1,6 @@
 //! Simulated days with scripted and with seeded faults, checked against the invariants.
 
+use cassiahoist_core::prelude::*;
 use cassiahoist_standins::host::HostHealth;
 use cassiahoist_standins::sim::{Fault, Scenario, Simulation, StoreHealth};
 use cassiahoist_standins::workload::Workload;
@@ -324,3 +325,32 @@
     sim.run_until(12_000);
     assert!(sim.holder().is_some());
 }
+
+/// Limits of ten weak machines and two strong ones, the last of which is the strongest.
+fn unlike_limits() -> Vec<MachineLimits> {
+    let weak = MachineLimits { cpu_milli: 120, link_mbps: 20 };
+    let strong = [500, 520].map(|cpu_milli| MachineLimits { cpu_milli, link_mbps: 200 });
+    [weak; 10].into_iter().chain(strong).collect()
+}
+
+/// Daemons start within 300 ms of each other, and most of them before the strongest has registered.
+///
+/// A daemon that claimed on a listing without the strongest would hold the slice for good, however weak its machine.
+/// The same holds when all lose power and start anew, before or after the holder's lease has ended.
+#[test]
+fn strongest_of_daemons_that_start_together_holds_the_slice() {
+    for (seed, down_ms) in (1..=12).zip([200, 700, 1_200, 3_000].into_iter().cycle()) {
+        let scenario = Scenario {
+            daemons: 12,
+            machine_limits: unlike_limits(),
+            start_spread_ms: 300,
+            faults: vec![(6_000, Fault::KillAllDaemons(down_ms))],
+            ..Scenario::default()
+        };
+        let mut sim = Simulation::new(seed, scenario);
+        sim.run_until(3_000);
+        assert_eq!(sim.holder(), Some(11), "seed {seed}: at the first start");
+        sim.run_until(9_000 + down_ms);
+        assert_eq!(sim.holder(), Some(11), "seed {seed}: {down_ms} ms after a loss of power");
+    }
+}
--- a/crates/cassiahoist_standins/tests/systems/backlog.rs
+++ b/crates/cassiahoist_standins/tests/systems/backlog.rs
@@ -20,12 +20,15 @@
         let host = holder.app.world_mut().hosts.get_mut(key).unwrap();
         host.reserved = host.entry.capacity;
     }
-    holder.app.world_mut().members.insert(MemberRecord {
-        incarnation: "edge-0#1".parse().unwrap(),
-        peer_address: "10.1.0.0:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits::default(),
-    });
+    holder.app.world_mut().members.insert(
+        MemberRecord {
+            incarnation: "edge-0#1".parse().unwrap(),
+            peer_address: "10.1.0.0:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
     let now_ms = holder.now_ms;
     for id in 1..=BACKLOG {
         let mut advised_job = job_record(id, vec![step(3)]);
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -104,12 +104,15 @@
 #[test]
 fn largest_host_size_spreads_by_heartbeat_and_expires() {
     let mut holder = TestDaemon::with_hosts(1);
-    holder.app.world_mut().members.insert(MemberRecord {
-        incarnation: "edge-1#1".parse().unwrap(),
-        peer_address: "10.1.0.1:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits::default(),
-    });
+    holder.app.world_mut().members.insert(
+        MemberRecord {
+            incarnation: "edge-1#1".parse().unwrap(),
+            peer_address: "10.1.0.1:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
     holder.tick(10);
     let heartbeat = holder.effects.iter().find_map(|effect| match effect {
         Effect::SendPeerMessage { message: message @ PeerMessage::Heartbeat { .. }, .. } => {
@@ -136,12 +139,15 @@
     let mut holder = TestDaemon::with_hosts(0);
     configure(&mut holder);
     let world = holder.app.world_mut();
-    world.members.insert(MemberRecord {
-        incarnation: "edge-1#1".parse().unwrap(),
-        peer_address: "10.1.0.1:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits::default(),
-    });
+    world.members.insert(
+        MemberRecord {
+            incarnation: "edge-1#1".parse().unwrap(),
+            peer_address: "10.1.0.1:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
     world.store_connection.failing_since_ms = Some(500);
     submit(&mut holder, 9, br#"{"steps":[{"count":1}]}"#);
     let relayed = holder.effects.iter().any(|effect| {
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -27,15 +27,16 @@
     let members = [member("a", 120, 10), member("b", 500, 200), member("c", 500, 200), member("d", 500, 10)];
     let mut table = MemberTable::default();
     for member in &members {
-        table.insert(member.clone());
+        table.insert(member.clone(), 0);
     }
     let rank = |name: &str, left_out: Option<&str>| {
         let member = members.iter().find(|member| member.incarnation.member.to_string() == name).unwrap();
-        let left_out = left_out.map(|name| MemberName::new(name).unwrap());
+        let left_out: Option<Incarnation> = left_out.map(|incarnation| incarnation.parse().unwrap());
         table.claim_rank(&member.incarnation.member, member.limits, left_out.as_ref())
     };
     assert_eq!(["a", "b", "c", "d"].map(|name| rank(name, None)), [3, 0, 1, 2]);
-    assert_eq!(rank("c", Some("b")), 0, "the last holder is left out");
+    assert_eq!(rank("c", Some("b#1")), 0, "the last holder is left out");
+    assert_eq!(rank("c", Some("b#0")), 1, "its next incarnation is not");
 }
 
 /// Records read in part under one claim must not count for the next.
@@ -83,11 +84,20 @@
     assert!(daemon.app.world().holding.loading.roster_loaded);
 }
 
-/// Creates a standby that follows a holder, with a lease of its own.
+/// Creates the store item of a registered daemon.
+fn member_item(record: MemberRecord) -> StoreItem {
+    let key = StoreKey::Member(record.incarnation.member.clone());
+    StoreItem { key, value: StoreValue::Member(record), revision: 70 }
+}
+
+/// Creates a standby that follows a holder, with a lease of its own, and has been registered for two seconds.
 ///
 /// The holder's heartbeat arrived `heartbeat_age_ms` ago.
 fn follower_of_a_holder(heartbeat_age_ms: u64) -> TestDaemon {
     let mut daemon = TestDaemon::standby();
+    let own = member("edge-0", 500, 200);
+    daemon.app.world_mut().local.limits = own.limits;
+    daemon.app.world_mut().members.insert(own.clone(), daemon.now_ms);
     daemon.tick(2_000);
     let now_ms = daemon.now_ms;
     let world = daemon.app.world_mut();
@@ -100,7 +110,7 @@
     let claim =
         ClaimRecord { holder: "edge-9#1".parse().unwrap(), peer_address: "10.1.0.9:7720".into(), term: 1 };
     let item = StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision: 80 };
-    let listing = StoreReply::Items { items: vec![item], revision: 80 };
+    let listing = StoreReply::Items { items: vec![member_item(own), item], revision: 80 };
     daemon.receive_event(Event::StoreCompleted(Box::new(StoreCompletion {
         purpose: StorePurpose::FollowRange(KeySpace::Cell),
         issued_at_ms: now_ms,
@@ -148,6 +158,140 @@
     assert!(delay_ms <= 20, "{delay_ms} ms");
 }
 
+/// Starts a daemon in a cell without a claim, and lets it register.
+///
+/// `others` had registered when it listed the cell.
+fn registered_daemon(own: MemberRecord, others: Vec<MemberRecord>) -> TestDaemon {
+    let mut daemon = TestDaemon::standby();
+    let world = daemon.app.world_mut();
+    world.local.incarnation = own.incarnation.clone();
+    world.local.limits = own.limits;
+    world.store_connection.lease = Some(7);
+    world.store_connection.next_lease_call_at_ms = u64::MAX;
+    daemon.tick(1);
+    let list = daemon.store_calls().find(|call| call.purpose == StorePurpose::FollowRange(KeySpace::Cell));
+    let items = others.into_iter().map(member_item).collect();
+    daemon.answer_store(list.cloned().unwrap(), Ok(StoreReply::Items { items, revision: 80 }));
+    register(&mut daemon, own);
+    daemon
+}
+
+fn register(daemon: &mut TestDaemon, record: MemberRecord) {
+    daemon.receive_changes(KeySpace::Cell, vec![StoreChange::Written(member_item(record))], 85);
+}
+
+fn sends_claim(daemon: &TestDaemon) -> bool {
+    daemon.store_calls().any(|call| call.purpose == StorePurpose::ClaimSlice)
+}
+
+/// Returns how long the daemon waits from now until it claims, in milliseconds.
+fn wait_for_claim_ms(daemon: &mut TestDaemon) -> u64 {
+    let from_ms = daemon.now_ms;
+    while !sends_claim(daemon) {
+        daemon.tick(10);
+        assert!(daemon.now_ms < from_ms + 5_000, "no claim");
+    }
+    daemon.now_ms - from_ms
+}
+
+/// A weak daemon lists the cell before stronger ones have registered, and knows no other than itself.
+///
+/// If it claimed at once, it would hold the slice for good.
+#[test]
+fn claim_waits_for_daemons_that_start_at_the_same_time() {
+    let mut weak = registered_daemon(member("edge-0", 120, 20), Vec::new());
+    let alone_ms = wait_for_claim_ms(&mut weak);
+    assert!((300..=600).contains(&alone_ms), "{alone_ms} ms for starts within 300 ms");
+
+    let mut weak = registered_daemon(member("edge-0", 120, 20), Vec::new());
+    weak.tick(300);
+    assert!(!sends_claim(&weak));
+    register(&mut weak, member("edge-1", 500, 200));
+    let mut strong = registered_daemon(member("edge-0", 500, 200), vec![member("edge-1", 120, 20)]);
+    let (weak_ms, strong_ms) = (wait_for_claim_ms(&mut weak), wait_for_claim_ms(&mut strong));
+    assert!(strong_ms < weak_ms, "{strong_ms} ms after the registration, {weak_ms} ms at the weak daemon");
+}
+
+/// Between daemons of the same limits only their names decide, and for that none waits.
+#[test]
+fn claim_does_not_wait_for_an_equal_daemon() {
+    let mut daemon = registered_daemon(member("edge-0", 500, 200), Vec::new());
+    daemon.tick(300);
+    register(&mut daemon, member("edge-1", 500, 200));
+    let delay_ms = wait_for_claim_ms(&mut daemon);
+    assert!(delay_ms <= 250, "{delay_ms} ms");
+}
+
+/// A strong machine ends and starts again and again, each time before its turn to claim comes.
+#[test]
+fn claim_does_not_wait_for_a_daemon_that_keeps_restarting() {
+    let mut daemon = registered_daemon(member("edge-0", 120, 20), Vec::new());
+    let from_ms = daemon.now_ms;
+    for incarnation in 1.. {
+        let incarnation = format!("edge-1#{incarnation}").parse().unwrap();
+        register(&mut daemon, MemberRecord { incarnation, ..member("edge-1", 500, 200) });
+        for _ in 0..20 {
+            daemon.tick(10);
+            if sends_claim(&daemon) {
+                let waited_ms = daemon.now_ms - from_ms;
+                assert!((900..=1_200).contains(&waited_ms), "{waited_ms} ms");
+                return;
+            }
+        }
+        assert!(daemon.now_ms < from_ms + 5_000, "no claim");
+    }
+}
+
+/// A daemon that has been registered for long takes over at once, and has no reason to wait.
+#[test]
+fn claim_of_a_settled_daemon_waits_for_its_rank_only() {
+    let mut daemon = registered_daemon(member("edge-5", 120, 20), vec![member("edge-1", 500, 200)]);
+    let claim =
+        ClaimRecord { holder: "edge-9#1".parse().unwrap(), peer_address: "10.1.0.9:7720".into(), term: 1 };
+    let item = StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision: 86 };
+    daemon.receive_changes(KeySpace::Cell, vec![StoreChange::Written(item)], 86);
+    daemon.tick(3_000);
+    let delay_ms = claim_delay_ms(&mut daemon, vec![claim_removed()]);
+    assert!(delay_ms <= 80, "{delay_ms} ms");
+}
+
+/// An outage of the store ended all leases; the last holder still has its tables.
+#[test]
+fn last_holder_reclaims_before_it_has_registered_again() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let own = holder.app.world().local.incarnation.clone();
+    holder.app.world_mut().store_connection.followed_ranges.entry(KeySpace::Cell).or_default().revision =
+        Some(80);
+    holder.app.world_mut().holding.last_holder = Some(own);
+    holder.tick(10);
+    let delay_ms = claim_delay_ms(&mut holder, vec![claim_removed()]);
+    assert!(delay_ms <= 20, "{delay_ms} ms");
+}
+
+/// A weak holder lost power together with all others and starts again while its claim is still in the store.
+///
+/// Its tables are lost, so that a stronger daemon takes over at no greater cost.
+#[test]
+fn restarted_holder_leaves_its_claim_to_a_stronger_daemon() {
+    for (other_cpu_milli, claims) in [(500, false), (120, true)] {
+        let own = MemberRecord { incarnation: "edge-5#2".parse().unwrap(), ..member("edge-5", 120, 20) };
+        let mut daemon = registered_daemon(own, vec![member("edge-1", other_cpu_milli, 20)]);
+        let claim = ClaimRecord {
+            holder: "edge-5#1".parse().unwrap(),
+            peer_address: "10.1.0.5:7720".into(),
+            term: 1,
+        };
+        let item =
+            StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision: 86 };
+        daemon.receive_changes(KeySpace::Cell, vec![StoreChange::Written(item)], 86);
+        assert_eq!(
+            sends_claim(&daemon),
+            claims,
+            "beside a machine of {other_cpu_milli} thousandths of a core"
+        );
+    }
+}
+
 /// A daemon of another version wrote the progress of a job.
 ///
 /// Its tasks may be done, so the new holder starts none of them.
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -214,12 +214,15 @@
 fn unanswered_advice_stops_further_calls() {
     let mut holder = TestDaemon::with_hosts(20);
     let own_incarnation = holder.app.world().local.incarnation.clone();
-    holder.app.world_mut().members.insert(MemberRecord {
-        incarnation: own_incarnation,
-        peer_address: "10.1.0.0:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits::default(),
-    });
+    holder.app.world_mut().members.insert(
+        MemberRecord {
+            incarnation: own_incarnation,
+            peer_address: "10.1.0.0:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
     for id in 1..=6 {
         let mut advised_job = job_record(id, vec![step(1)]);
         let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -14,12 +14,15 @@
 /// Creates a holder past its settling time, with one other member.
 fn settled_holder() -> TestDaemon {
     let mut holder = TestDaemon::with_hosts(6);
-    holder.app.world_mut().members.insert(MemberRecord {
-        incarnation: "edge-1#1".parse().unwrap(),
-        peer_address: "10.1.0.1:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits::default(),
-    });
+    for number in 0..2 {
+        let record = MemberRecord {
+            incarnation: format!("edge-{number}#1").parse().unwrap(),
+            peer_address: format!("10.1.0.{number}:7720"),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        };
+        holder.app.world_mut().members.insert(record, 0);
+    }
     holder.tick(3_000);
     holder
 }
--- a/crates/cassiahoist_world/src/members.rs
+++ b/crates/cassiahoist_world/src/members.rs
@@ -5,10 +5,18 @@
 
 use crate::record::MemberRecord;
 
+/// A registered daemon.
+#[derive(Clone, Debug)]
+struct Member {
+    record: MemberRecord,
+    /// When this daemon first saw the registration of that incarnation, in monotonic milliseconds.
+    registered_at_ms: u64,
+}
+
 /// Registered daemons, this one included; updated from the followed range.
 #[derive(Debug, Default)]
 pub struct MemberTable {
-    rows: FxHashMap<MemberName, MemberRecord>,
+    rows: FxHashMap<MemberName, Member>,
     /// Whether this daemon's own entry is in the store.
     pub registered: bool,
     /// Whether a call to register is in flight.
@@ -17,8 +25,11 @@
 
 impl MemberTable {
     /// Adds a daemon or replaces its earlier record.
-    pub fn insert(&mut self, record: MemberRecord) {
-        self.rows.insert(record.incarnation.member.clone(), record);
+    pub fn insert(&mut self, record: MemberRecord, now_ms: u64) {
+        let known = self.rows.get(&record.incarnation.member);
+        let known = known.filter(|member| member.record.incarnation == record.incarnation);
+        let registered_at_ms = known.map_or(now_ms, |member| member.registered_at_ms);
+        self.rows.insert(record.incarnation.member.clone(), Member { record, registered_at_ms });
     }
 
     /// Removes a daemon; returns whether it was there.
@@ -29,18 +40,27 @@
     /// Returns a daemon's record.
     #[must_use]
     pub fn get(&self, name: &MemberName) -> Option<&MemberRecord> {
-        self.rows.get(name)
+        self.rows.get(name).map(|member| &member.record)
+    }
+
+    /// Returns when the registration of an incarnation was first seen, in monotonic milliseconds.
+    ///
+    /// `None` if that incarnation is not registered.
+    #[must_use]
+    pub fn registered_at_ms(&self, incarnation: &Incarnation) -> Option<u64> {
+        let member = self.rows.get(&incarnation.member)?;
+        (member.record.incarnation == *incarnation).then_some(member.registered_at_ms)
     }
 
     /// Iterates over all daemons, in no defined order.
     pub fn iter(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.rows.values()
+        self.rows.values().map(|member| &member.record)
     }
 
     /// Iterates over the peer addresses of all daemons except `left_out`.
     pub fn peer_addresses(&self, left_out: &MemberName) -> impl Iterator<Item = &str> {
         let others = self.rows.iter().filter(move |(name, _)| *name != left_out);
-        others.map(|(_, member)| member.peer_address.as_str())
+        others.map(|(_, member)| member.record.peer_address.as_str())
     }
 
     /// Removes the daemons that the filter rejects.
@@ -56,12 +76,36 @@
         &self,
         name: &MemberName,
         limits: MachineLimits,
-        left_out: Option<&MemberName>,
+        left_out: Option<&Incarnation>,
     ) -> usize {
         let ranks_before = |other: &MemberRecord| {
             let other_name = &other.incarnation.member;
-            (other.limits, name) > (limits, other_name) && other_name != name && Some(other_name) != left_out
+            (other.limits, name) > (limits, other_name)
+                && other_name != name
+                && Some(&other.incarnation) != left_out
         };
-        self.rows.values().filter(|other| ranks_before(other)).count()
+        self.iter().filter(|other| ranks_before(other)).count()
+    }
+
+    /// Returns whether a daemon with greater limits is registered.
+    #[must_use]
+    pub fn has_stronger(&self, limits: MachineLimits) -> bool {
+        self.iter().any(|other| other.limits > limits)
+    }
+
+    /// Returns when the latest registration of a daemon with greater limits was first seen, in monotonic milliseconds.
+    ///
+    /// `None` if there is no such daemon other than `left_out`.
+    #[must_use]
+    pub fn stronger_registered_at_ms(
+        &self,
+        limits: MachineLimits,
+        left_out: Option<&Incarnation>,
+    ) -> Option<u64> {
+        let stronger = self
+            .rows
+            .values()
+            .filter(|other| other.record.limits > limits && Some(&other.record.incarnation) != left_out);
+        stronger.map(|other| other.registered_at_ms).max()
     }
 }
