Limit the bytes of start orders to the holder's link

Cause: a holder issued up to 128 start orders at once, however long their arguments, 1.3 kB on average and up to 4 kB. Counters in the traffic threads (trial) show 383, 633 and 380 kB of orders in single seconds on a link that carries 250 kB. The members of a wide gang timed out in the same queue. After such a burst the limit of open starts fell to 8, which holds the rate at what the link carries, but every new holder began with 128 again.

Ruled out: ticks (5 ms a second), the wait of answers for a tick (1 to 3 ms), advice (pending tasks stay with 20 open calls while the start limit is used up).

Change: a token bucket of 70% of the bandwidth that the settings give the machine, with bursts of 50 ms. Gangs go out at once, with timeouts that allow for their time on the link. Both tests failed before (381,000 bytes in 5 ms).

--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -48,19 +48,47 @@
     }
     world.advice.next_round_at_ms = now_ms + MIN_ROUND_INTERVAL_MS;
     world.wake_by(now_ms + MAX_ROUND_INTERVAL_MS);
-    if world.runs.start_window.available() == 0 {
-        // The next answer to a start order begins another round.
-        return;
-    }
+    world.runs.start_budget.refill(world.local.limits.link_mbps, now_ms);
+    let mut admission = admit_starts(world);
     let may_start_inherited_jobs = may_start_inherited_jobs(world, now_ms);
-    for step in ready_steps_by_rank(world) {
-        if world.runs.start_window.available() == 0 {
-            return;
-        }
+    let steps = if admission == StartAdmission::Open { ready_steps_by_rank(world) } else { Vec::new() };
+    for step in steps {
         if may_place(world, step, may_start_inherited_jobs) {
             place_step(world, step, now_ms);
+            admission = admit_starts(world);
+        }
+        if admission != StartAdmission::Open {
+            break;
         }
     }
+    if let StartAdmission::AfterRefill { wait_ms } = admission {
+        world.wake_by(now_ms + wait_ms);
+    }
+}
+
+/// Whether start orders may be issued now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartAdmission {
+    /// They may.
+    Open,
+    /// Too many are open. The next answer to one begins another round.
+    AfterAnswer,
+    /// The link carries no more now.
+    AfterRefill {
+        /// Time until it does, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+fn admit_starts(world: &World) -> StartAdmission {
+    if world.runs.start_window.available() == 0 {
+        return StartAdmission::AfterAnswer;
+    }
+    let budget = world.runs.start_budget;
+    if budget.is_exhausted() {
+        return StartAdmission::AfterRefill { wait_ms: budget.refill_time_ms(world.local.limits.link_mbps) };
+    }
+    StartAdmission::Open
 }
 
 /// Returns whether tasks of a step may start on some host, as far as its own row and its job show.
@@ -100,7 +128,7 @@
         return;
     };
     for task_key in pending_tasks {
-        if room.candidates.is_empty() || remaining_tasks == 0 {
+        if room.candidates.is_empty() || remaining_tasks == 0 || world.runs.start_budget.is_exhausted() {
             return;
         }
         let Some(task) = world.jobs.tasks.get(task_key) else { continue };
@@ -301,6 +329,8 @@
     let log_record = LogRecord::new(EventId::TaskStarted).with("task", name).with("run", run_number);
     world.log(log_record.with("host", host_name).with("waited_ms", now_ms.saturating_sub(ready_since_ms)));
     let order = Order::Start { run, task: name, run_number, argument, checkpoint, ticket, lease_until_ms };
-    let timeout_ms = START_TIMEOUT_MS + world.holding.answer_times.latency_allowance_ms();
+    world.runs.start_budget.spend(order.size_bytes());
+    let queueing_ms = world.runs.start_budget.queueing_time_ms(world.local.limits.link_mbps);
+    let timeout_ms = START_TIMEOUT_MS + queueing_ms + world.holding.answer_times.latency_allowance_ms();
     world.send_order(host_key, order, timeout_ms, now_ms);
 }
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -6,6 +6,7 @@
 mod declarations;
 mod engagement;
 mod host_restarts;
+mod link_budget;
 mod load;
 mod placement;
 mod recording;
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod runs;
 pub mod schedule;
 pub mod spec;
+pub mod start_budget;
 pub mod start_window;
 pub mod store;
 pub mod store_connection;
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -59,6 +59,23 @@
     },
 }
 
+/// Bytes that an order takes on the link beside its texts: headers, names and numbers.
+const ORDER_OVERHEAD_BYTES: usize = 400;
+
+impl Order {
+    /// Returns about how many bytes the order takes on the link.
+    #[must_use]
+    pub fn size_bytes(&self) -> u64 {
+        let text_bytes = match self {
+            Self::Start { argument, checkpoint, ticket, .. } => {
+                argument.len() + checkpoint.len() + ticket.as_ref().map_or(0, |ticket| ticket.len())
+            }
+            Self::Stop { .. } | Self::Poll { .. } | Self::SetPace { .. } => 0,
+        };
+        (text_bytes + ORDER_OVERHEAD_BYTES) as u64
+    }
+}
+
 /// An order with its destination.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostOrder {
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -6,6 +6,7 @@
 
 pub use crate::keys::RunKey;
 use crate::keys::{HostKey, TaskKey};
+use crate::start_budget::StartBudget;
 use crate::start_window::StartWindow;
 
 /// State of a run.
@@ -80,6 +81,8 @@
     pub rows: SlotMap<RunKey, Run>,
     /// Limit of start orders without an answer.
     pub start_window: StartWindow,
+    /// Bytes of start orders that the holder's link carries.
+    pub start_budget: StartBudget,
     /// Runs that were ordered to stop and may need a further stop order.
     pub stopping: FxHashSet<RunKey>,
     /// When to look for stalled runs next, in monotonic milliseconds.
@@ -103,6 +106,7 @@
         self.rows.clear();
         self.stopping.clear();
         self.start_window = StartWindow::default();
+        self.start_budget = StartBudget::default();
     }
 
     /// Adds the duration of a completed run, in milliseconds, to its queue's mean.
