Keep the slice while start orders fill the link

Cause: answers are slow because the holder's own orders fill its link. A release stops starts for 2 to 3 s, and the next holder has the same link and a longer backlog.

Change: windows in which start orders use half of their budget or more, or have overdrawn it, don't count as slow unless a member has a better link. A machine that is really slow gets few orders through, so it releases the slice as before. holder_whose_link_is_full_of_starts_keeps_the_slice failed before.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -53,7 +53,12 @@
         window.answer_count += 1;
     }
     if now_ms >= window.window_end_ms {
-        close_window(window, &mut world.runs.start_window, now_ms);
+        let link_mbps = world.local.limits.link_mbps;
+        let has_best_link = world.members.iter().all(|member| member.limits.link_mbps <= link_mbps);
+        let starts_fill_link = world.runs.start_budget.measure_heavy_use(link_mbps, now_ms);
+        let cause =
+            if has_best_link && starts_fill_link { SlownessCause::Work } else { SlownessCause::Machine };
+        close_window(window, &mut world.runs.start_window, cause, now_ms);
     }
     let was_taken_over_recently = tenure_ms < SHORT_TENURE_MS
         && world.holding.predecessor_tenure_ms.is_some_and(|tenure_ms| tenure_ms < SHORT_TENURE_MS);
@@ -77,12 +82,30 @@
     (answered_by_host && !long_poll).then(|| now_ms.saturating_sub(completion.issued_at_ms))
 }
 
+/// What makes answers slow, if they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SlownessCause {
+    /// Start orders take up the link, and no other daemon has a better one.
+    Work,
+    /// The machine gives this daemon less than its settings say.
+    Machine,
+}
+
 /// Judges a window: adapts the number of open start orders, and counts consecutive slow windows.
 ///
-/// A window is slow only once fewer open starts can't help, since another daemon would do no better with the same work.
-fn close_window(window: &mut AnswerTimeWindow, start_window: &mut StartWindow, now_ms: u64) {
+/// A window is slow only once fewer open starts can't help and the work is not the cause, since another daemon would do
+/// no better with the same work.
+fn close_window(
+    window: &mut AnswerTimeWindow,
+    start_window: &mut StartWindow,
+    cause: SlownessCause,
+    now_ms: u64,
+) {
     let is_judged = window.answer_count >= MIN_WINDOW_ANSWERS;
-    let slow = is_judged && window.min_latency_ms >= SLOW_ANSWER_MS && start_window.is_at_minimum();
+    let slow = is_judged
+        && window.min_latency_ms >= SLOW_ANSWER_MS
+        && start_window.is_at_minimum()
+        && cause == SlownessCause::Machine;
     if is_judged && window.is_congested() {
         start_window.shrink();
     } else if is_judged {
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -1,12 +1,16 @@
 //! A holder that is too slow releases the slice to another daemon.
 
+use std::collections::VecDeque;
+use std::sync::Arc;
+
 use cassiahoist_core::prelude::*;
+use cassiahoist_jobs::insert_job;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
 use cassiahoist_world::record::MemberRecord;
 use cassiahoist_world::store::{KeySpace, StoreChange, StoreFailure, StoreKey, StorePurpose, StoreReply};
 
-use crate::support::{FENCE, TestDaemon, host_entry};
+use crate::support::{FENCE, TestDaemon, host_entry, job_record};
 
 /// Time between answers, in milliseconds.
 const TICK_MS: u64 = 100;
@@ -174,3 +178,60 @@
     holder.confirm_starts();
     assert!(holder.app.world().counters.starts > 8, "answers let further tasks start");
 }
+
+/// Creates a settled holder on a link of 2 Mbit/s with many tasks of long arguments, and a peer with this link.
+fn busy_holder(peer_link_mbps: u32) -> TestDaemon {
+    let mut holder = TestDaemon::with_hosts(60);
+    let world = holder.app.world_mut();
+    world.local.limits.link_mbps = 2;
+    world.members.insert(MemberRecord {
+        incarnation: "edge-1#1".parse().unwrap(),
+        peer_address: "10.1.0.1:7720".into(),
+        domain: FailureDomain::new("obihiro").unwrap(),
+        limits: MachineLimits { link_mbps: peer_link_mbps, ..MachineLimits::default() },
+    });
+    holder.tick(3_000);
+    let mut job = job_record(1, vec![crate::support::step(400)]);
+    Arc::make_mut(&mut job).spec.argument = "x".repeat(3_500);
+    let now_ms = holder.now_ms;
+    insert_job(holder.app.world_mut(), &job, None, now_ms);
+    holder
+}
+
+/// Plays two seconds in which each start order is answered after 120 ms. Returns whether the claim was released.
+fn play_busy_seconds(holder: &mut TestDaemon) -> bool {
+    let mut open_orders: VecDeque<(u64, HostOrder)> = VecDeque::new();
+    for _ in 0..200 {
+        while open_orders.front().is_some_and(|(issued_at_ms, _)| issued_at_ms + 120 <= holder.now_ms) {
+            let (issued_at_ms, order) = open_orders.pop_front().unwrap();
+            holder.app.push_event(Event::OrderCompleted(Box::new(OrderCompletion {
+                order,
+                issued_at_ms,
+                host_clock_ms: Some(holder.now_ms + 9_000),
+                completed_at_ms: holder.now_ms,
+                outcome: OrderOutcome::Done { lists: None },
+            })));
+        }
+        holder.tick(10);
+        if holder.store_calls().any(|call| call.purpose == StorePurpose::ReleaseClaim) {
+            return true;
+        }
+        let now_ms = holder.now_ms;
+        let starts = holder.orders().filter(|order| matches!(order.order, Order::Start { .. }));
+        let starts: Vec<(u64, HostOrder)> = starts.map(|order| (now_ms, order.clone())).collect();
+        open_orders.extend(starts);
+    }
+    false
+}
+
+/// The holder's own start orders fill its link. Each change of the holder stops starts for seconds and leaves the next
+/// one a longer backlog on a link that is no better.
+#[test]
+fn holder_whose_link_is_full_of_starts_keeps_the_slice() {
+    assert!(!play_busy_seconds(&mut busy_holder(2)));
+}
+
+#[test]
+fn holder_whose_link_is_full_of_starts_leaves_the_slice_to_a_better_link() {
+    assert!(play_busy_seconds(&mut busy_holder(20)));
+}
--- a/crates/cassiahoist_world/src/start_budget.rs
+++ b/crates/cassiahoist_world/src/start_budget.rs
@@ -13,6 +13,9 @@
 /// Each round of placement goes over the ready steps, so that rounds for single orders would cost too much.
 const MIN_REFILL_MS: u64 = 10;
 
+/// Use of the budget from which start orders alone explain a full link, in percent.
+const HEAVY_USE_PERCENT: u64 = 50;
+
 /// Bytes of start orders that the holder's link carries, as a token bucket.
 ///
 /// Orders beyond the bandwidth would wait in the link's queue, together with polls and renewals of the store lease, and
@@ -24,6 +27,10 @@
     available_bytes: i64,
     /// When the budget was last refilled, in monotonic milliseconds.
     refilled_at_ms: u64,
+    /// Bytes of orders since the last measurement of the use.
+    spent_bytes: u64,
+    /// When the use was last measured, in monotonic milliseconds.
+    measured_at_ms: u64,
 }
 
 /// Bytes that a link carries in one millisecond.
@@ -50,6 +57,26 @@
     /// Subtracts an order of this size, whether or not the budget allows it.
     pub fn spend(&mut self, order_bytes: u64) {
         self.available_bytes -= order_bytes as i64;
+        self.spent_bytes += order_bytes;
+    }
+
+    /// Begins a new measurement, and returns whether start orders took up much of the link in the last one.
+    ///
+    /// They also do while the link still carries orders that exceeded the budget.
+    pub fn measure_heavy_use(&mut self, link_mbps: u32, now_ms: u64) -> bool {
+        let allowed_bytes =
+            now_ms.saturating_sub(self.measured_at_ms).saturating_mul(refill_bytes_per_ms(link_mbps));
+        let is_heavy =
+            self.spent_bytes.saturating_mul(100) >= allowed_bytes.saturating_mul(HEAVY_USE_PERCENT);
+        let is_heavy = (is_heavy && self.spent_bytes > 0) || self.is_overdrawn_at(link_mbps, now_ms);
+        self.spent_bytes = 0;
+        self.measured_at_ms = now_ms;
+        is_heavy
+    }
+
+    fn is_overdrawn_at(mut self, link_mbps: u32, now_ms: u64) -> bool {
+        self.refill(link_mbps, now_ms);
+        self.available_bytes < 0
     }
 
     /// Returns whether no order may be issued now.
