Pause the peer server when a connection can't be accepted

Callers saw: while a daemon had no free descriptor, everything else of its traffic became slow as well; on a machine of 0.12 core the traffic thread has no time left. That is how it would act there: measured in a test, not on the site.

Cause: the gRPC server goes on at once after a failed accept, and the listener stays readable, so it tries again without end. Class: one resource of the process (descriptors, then the processor) shared by unlike users.

Fix: the accepted connections come through a stream that pauses for as long as the other servers do.

--- a/crates/cassiahoist_traffic/src/peer_server.rs
+++ b/crates/cassiahoist_traffic/src/peer_server.rs
@@ -1,14 +1,21 @@
 //! gRPC server for messages of peers.
 
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
 use cassiahoist_core::prelude::*;
 use cassiahoist_wire::peer::decode_delivery;
 use cassiahoist_wire::peer_server::{Peer, PeerServer};
 use cassiahoist_wire::{DeliverReply, DeliverRequest};
 use cassiahoist_world::event::Event;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Sleep;
+use tonic::codegen::tokio_stream::Stream;
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
+use crate::caller_server::ACCEPT_RETRY_DELAY;
 use crate::control_link::ControlLink;
 
 /// Largest delivery of a peer, in bytes.
@@ -32,7 +39,7 @@
     /// # Errors
     /// Returns [`HoistError::Unreachable`] if the server fails.
     pub async fn serve(self, listener: TcpListener) -> Result<(), HoistError> {
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let incoming = PeerConnections::new(listener);
         let server = PeerServer::new(self).max_decoding_message_size(MAX_DELIVERY_BYTES);
         let served =
             tonic::transport::Server::builder().add_service(server).serve_with_incoming(incoming).await;
@@ -40,6 +47,41 @@
     }
 }
 
+/// Accepted connections of peers. Pauses after a connection could not be accepted.
+///
+/// The server itself would try again at once, and keep a processor busy while no descriptor is free.
+#[derive(Debug)]
+struct PeerConnections {
+    incoming: TcpIncoming,
+    /// The pause in progress; `None` while connections are accepted.
+    pause: Option<Pin<Box<Sleep>>>,
+}
+
+impl PeerConnections {
+    fn new(listener: TcpListener) -> Self {
+        Self { incoming: TcpIncoming::from(listener).with_nodelay(Some(true)), pause: None }
+    }
+}
+
+impl Stream for PeerConnections {
+    type Item = io::Result<TcpStream>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            if let Some(pause) = &mut self.pause {
+                ready!(pause.as_mut().poll(cx));
+                self.pause = None;
+            }
+            match ready!(Pin::new(&mut self.incoming).poll_next(cx)) {
+                Some(Err(_not_accepted)) => {
+                    self.pause = Some(Box::pin(tokio::time::sleep(ACCEPT_RETRY_DELAY)));
+                }
+                accepted => return Poll::Ready(accepted),
+            }
+        }
+    }
+}
+
 #[tonic::async_trait]
 impl Peer for PeerEndpoint {
     async fn deliver(&self, request: Request<DeliverRequest>) -> Result<Response<DeliverReply>, Status> {
