--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -55,6 +55,8 @@
     pub settle_ms: u64,
     /// Mean time between submissions, in milliseconds.
     pub mean_job_interval_ms: u64,
+    /// Number of jobs that callers submit at once when they begin to.
+    pub backlog_jobs: usize,
     /// Kind of jobs and configurations.
     pub workload: Workload,
     /// Faults with the time of their injection, in milliseconds.
@@ -69,6 +71,7 @@
             traffic_ms: 12_000,
             settle_ms: 25_000,
             mean_job_interval_ms: 250,
+            backlog_jobs: 0,
             workload: Workload::Plain,
             faults: Vec::new(),
         }
@@ -115,6 +118,8 @@
     pub tick_count: u64,
     /// Real time that its ticks have taken, in all incarnations.
     pub tick_time: Duration,
+    /// Real time that the longest of them took; the reader resets it.
+    pub longest_tick: Duration,
     last_tick_ms: u64,
     inbox: Vec<Event>,
 }
@@ -282,7 +287,9 @@
         }
         let tick_started = Instant::now();
         app.tick(now_ms, TIME_ZERO_UNIX_MS + now_ms);
-        daemon.tick_time += tick_started.elapsed();
+        let took = tick_started.elapsed();
+        daemon.tick_time += took;
+        daemon.longest_tick = daemon.longest_tick.max(took);
         daemon.tick_count += 1;
         let daemon_started_unix_ms = daemon.started_unix_ms;
         for effect in app.take_effects() {
@@ -383,6 +390,7 @@
         link: Link::default(),
         tick_count: 0,
         tick_time: Duration::ZERO,
+        longest_tick: Duration::ZERO,
         last_tick_ms: 0,
         inbox: Vec::new(),
     })
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -100,7 +100,7 @@
 impl Simulation {
     pub(super) fn send_caller_requests(&mut self) {
         self.expire_calls();
-        self.draw_due_job();
+        self.draw_due_jobs();
         if self.scenario.workload == Workload::Varied {
             self.send_due_probe();
         }
@@ -126,13 +126,20 @@
         }
     }
 
-    fn draw_due_job(&mut self) {
+    fn draw_due_jobs(&mut self) {
         let end_ms = 4_000 + self.scenario.traffic_ms;
         if self.now_ms < 4_000 || self.now_ms > end_ms || self.now_ms < self.callers.next_job_ms {
             return;
         }
+        for _ in 0..std::mem::take(&mut self.scenario.backlog_jobs) {
+            self.draw_job();
+        }
         self.callers.next_job_ms =
             self.now_ms + self.rng.random_range(1..=self.scenario.mean_job_interval_ms * 2);
+        self.draw_job();
+    }
+
+    fn draw_job(&mut self) {
         let job = draw_job(&mut self.rng, self.scenario.workload);
         let cancelled = job.runs_until_cancelled() || self.rng.random_bool(0.08);
         let cancel_at_ms = cancelled.then(|| {
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -1,22 +1,28 @@
 //! Measures what a holder's ticks cost with many hosts, in the seeded simulation.
 //!
 //! `cargo run --release --example load -- --hosts 1100 --jobs-per-s 50`. Processor time is that of this machine; orders
-//! and messages are counted, not sent.
+//! and messages are counted, not sent. With `--backlog 2000` that many jobs are submitted at once, and with
+//! `--power-loss-at 3` all daemons lose power in that second, so that a new holder adopts what waits and runs.
 
 use bpaf::{OptionParser, Parser, construct, long};
-use cassiahoist_standins::sim::{Scenario, Simulation};
+use cassiahoist_standins::sim::{Daemon, Fault, Scenario, Simulation};
 use cassiahoist_standins::workload::Workload;
 use cassiahoist_world::world::World;
 
 /// Time at which callers begin to submit, in milliseconds.
 const TRAFFIC_START_MS: u64 = 4_000;
 
+/// Time for which daemons without power are down, in milliseconds.
+const POWER_LOSS_MS: u64 = 1_000;
+
 #[derive(Clone, Copy, Debug)]
 struct Args {
     hosts: usize,
     daemons: usize,
     jobs_per_s: u64,
     seconds: u64,
+    backlog: usize,
+    power_loss_at: Option<u64>,
 }
 
 fn args() -> OptionParser<Args> {
@@ -24,10 +30,15 @@
     let daemons = long("daemons").help("Number of daemons").argument("N").fallback(20);
     let jobs_per_s = long("jobs-per-s").help("Jobs submitted in a second").argument("N").fallback(50);
     let seconds = long("seconds").help("Time with submissions, in seconds").argument("N").fallback(10);
-    construct!(Args { hosts, daemons, jobs_per_s, seconds }).to_options().descr("Measures a holder's ticks")
+    let backlog = long("backlog").help("Jobs submitted at once at the start").argument("N").fallback(0);
+    let power_loss_at =
+        long("power-loss-at").help("Second in which all daemons lose power").argument("N").optional();
+    construct!(Args { hosts, daemons, jobs_per_s, seconds, backlog, power_loss_at })
+        .to_options()
+        .descr("Measures a holder's ticks")
 }
 
-/// Totals of the holder at one moment.
+/// Totals of one daemon since its start, and since the start of its first incarnation for ticks.
 #[derive(Clone, Copy, Debug, Default)]
 struct Totals {
     starts: u64,
@@ -35,49 +46,65 @@
     advice_calls: u64,
     ticks: u64,
     tick_micros: u128,
+    longest_tick_micros: u128,
 }
 
-fn read_totals(sim: &Simulation) -> Option<(Totals, &World)> {
-    let daemon = &sim.daemons[sim.holder()?];
-    let world = daemon.app.as_ref()?.world();
-    let totals = Totals {
-        starts: world.counters.starts,
-        polls: world.counters.polls,
-        advice_calls: world.counters.advice_calls,
-        ticks: daemon.tick_count,
-        tick_micros: daemon.tick_time.as_micros(),
-    };
-    Some((totals, world))
+impl Totals {
+    fn read(daemon: &mut Daemon) -> Self {
+        let counters = daemon.app.as_ref().map(|app| app.world().counters).unwrap_or_default();
+        Self {
+            starts: counters.starts,
+            polls: counters.polls,
+            advice_calls: counters.advice_calls,
+            ticks: daemon.tick_count,
+            tick_micros: daemon.tick_time.as_micros(),
+            longest_tick_micros: std::mem::take(&mut daemon.longest_tick).as_micros(),
+        }
+    }
+}
+
+/// Prints what the holder did since the totals before; counters of a new incarnation began anew.
+fn print_second(second: u64, world: &World, before: &Totals, after: &Totals) {
+    let (ticks, micros) = (after.ticks - before.ticks, after.tick_micros - before.tick_micros);
+    println!(
+        "{second:>6} {:>6} {:>5} {:>6} {ticks:>5} {:>7} {:>7} {:>4} {:>7} {:>5}",
+        after.starts.saturating_sub(before.starts),
+        after.polls.saturating_sub(before.polls),
+        after.advice_calls.saturating_sub(before.advice_calls),
+        micros / u128::from(ticks.max(1)),
+        after.longest_tick_micros,
+        micros / 1_000,
+        world.jobs.ready.len(),
+        world.runs.rows.len(),
+    );
 }
 
 fn main() {
     let args = args().run();
+    let power_loss = args
+        .power_loss_at
+        .map(|second| (TRAFFIC_START_MS + second * 1_000, Fault::KillAllDaemons(POWER_LOSS_MS)));
     let scenario = Scenario {
         daemons: args.daemons,
         hosts: args.hosts,
         traffic_ms: args.seconds * 1_000,
         settle_ms: 0,
         mean_job_interval_ms: 1_000 / args.jobs_per_s.max(1),
+        backlog_jobs: args.backlog,
         workload: Workload::Plain,
-        faults: Vec::new(),
+        faults: power_loss.into_iter().collect(),
     };
     let mut sim = Simulation::new(1, scenario);
-    let mut before = Totals::default();
-    println!("second starts polls advice ticks us/tick ms/s waiting runs");
+    let mut before = vec![Totals::default(); args.daemons];
+    println!("second starts polls advice ticks us/tick longest ms/s waiting  runs");
     for second in 1..=args.seconds {
         sim.run_until(TRAFFIC_START_MS + second * 1_000);
-        let Some((totals, world)) = read_totals(&sim) else { continue };
-        let (ticks, micros) = (totals.ticks - before.ticks, totals.tick_micros - before.tick_micros);
-        println!(
-            "{second:>6} {:>6} {:>5} {:>6} {ticks:>5} {:>7} {:>4} {:>7} {:>4}",
-            totals.starts - before.starts,
-            totals.polls - before.polls,
-            totals.advice_calls - before.advice_calls,
-            micros / u128::from(ticks.max(1)),
-            micros / 1_000,
-            world.jobs.ready.len(),
-            world.runs.rows.len(),
-        );
-        before = totals;
+        let after: Vec<Totals> = sim.daemons.iter_mut().map(Totals::read).collect();
+        if let Some(holder) = sim.holder()
+            && let Some(app) = &sim.daemons[holder].app
+        {
+            print_second(second, app.world(), &before[holder], &after[holder]);
+        }
+        before = after;
     }
 }
