Visit only the waiting steps that are due in a round of advice

Cause: each round of placement and of advice collected and sorted all ready steps and looked at each row, also those without advice, with an open call or put off; each call for advice looked up all members twice. That is work in each tick that grows with the backlog.

Change: ready steps are kept in the order of placement. Beside them stand two indexes: the steps that placement may place (no advice needed, or some approved) and a queue of steps by when they may make their next call. A round takes the due ones in the order of placement, as before. Members are counted once a round. The counter cassiahoist_steps_visited shows the work.

--- a/crates/cassiahoist_hosts/src/engage.rs
+++ b/crates/cassiahoist_hosts/src/engage.rs
@@ -114,7 +114,7 @@
     let skipped_count = if ready_count > MAX_STEPS_PER_ROUND { first_step % ready_count } else { 0 };
     let in_turn =
         world.jobs.ready.iter().cycle().skip(skipped_count).take(ready_count.min(MAX_STEPS_PER_ROUND));
-    let ready_steps = in_turn.filter_map(|key| world.jobs.steps.get(*key));
+    let ready_steps = in_turn.filter_map(|key| world.jobs.steps.get(key));
     let waiting_steps = ready_steps.filter(|step| !step.pending_tasks.is_empty());
     waiting_steps.filter_map(|step| demand_of(world, step, now_ms)).collect()
 }
--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -143,7 +143,7 @@
     job.ended_unix_ms = unix_ms;
     let steps = job.steps.clone();
     for step in steps {
-        world.jobs.ready.remove(&step);
+        world.jobs.ready.remove(step);
         world.jobs.blocked.remove(&step);
     }
     world.jobs.unrecorded_jobs.insert(key);
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -13,7 +13,6 @@
 use cassiahoist_world::prelude::*;
 use rustc_hash::FxHashMap;
 
-use crate::order::ready_steps_by_rank;
 use crate::selectable::SelectableHosts;
 
 /// Assumed share of queried hosts that the service approves.
@@ -91,13 +90,15 @@
     }
     world.advice.next_round_at_ms = now_ms;
     let Some(step) = world.jobs.steps.get_mut(open.step) else { return };
-    if step.advice.open_call == Some(answer.call) {
+    let (job, ready_since_ms) = (step.job, step.ready_since_ms);
+    let ends_wait = step.advice.open_call == Some(answer.call);
+    if ends_wait {
         step.advice.open_call = None;
-        step.advice.next_call_at_ms = now_ms;
     }
     let Some(approved) = answer.approved else {
-        step.advice.next_call_at_ms = now_ms + ADVICE_RETRY_MS;
-        let log_record = LogRecord::new(EventId::AdviceFailed).with("step", step.name);
+        let step_name = step.name;
+        world.jobs.schedule_advice_call(open.step, now_ms + ADVICE_RETRY_MS);
+        let log_record = LogRecord::new(EventId::AdviceFailed).with("step", step_name);
         world.log(log_record.with("member", open.member).with("took_ms", now_ms - open.sent_at_ms));
         return;
     };
@@ -112,16 +113,17 @@
             approved_count += 1;
             let host_started_unix_ms = host.entry.started_unix_ms;
             let text = Arc::clone(&approved_host.ticket);
-            step.advice.approved_hosts.insert(key, Ticket { text, expires_at_ms, host_started_unix_ms });
+            let ticket = Ticket { text, expires_at_ms, host_started_unix_ms };
+            world.jobs.approve_host(open.step, key, ticket);
         } else {
-            step.advice.approved_hosts.remove(&key);
-            step.advice.rejected_hosts.insert(key);
+            world.jobs.reject_host(open.step, key);
         }
     }
     if approved_count == 0 {
-        step.advice.next_call_at_ms = now_ms + ADVICE_RETRY_MS;
+        world.jobs.schedule_advice_call(open.step, now_ms + ADVICE_RETRY_MS);
+    } else if ends_wait {
+        world.jobs.schedule_advice_call(open.step, now_ms);
     }
-    let (job, ready_since_ms) = (step.job, step.ready_since_ms);
     world.counters.advice_ms.record(now_ms.saturating_sub(ready_since_ms));
     let Some(job) = world.jobs.get(job) else { return };
     let share =
@@ -144,11 +146,11 @@
         let log_record =
             LogRecord::new(EventId::AdviceFailed).with("member", &open.member).with("call", call);
         let log_record = log_record.with("took_ms", now_ms - open.sent_at_ms);
-        let step = open.step;
+        let step_key = open.step;
         world.log(log_record);
-        if let Some(step) = world.jobs.steps.get_mut(step) {
+        if let Some(step) = world.jobs.steps.get_mut(step_key) {
             step.advice.open_call = None;
-            step.advice.next_call_at_ms = now_ms;
+            world.jobs.schedule_advice_call(step_key, now_ms);
         }
     }
     let awaited_calls = world.advice.open_calls.values().filter(|open| !open.abandoned);
@@ -157,35 +159,62 @@
     }
 }
 
-/// Calls in flight by daemon, as a round of requests begins.
-#[derive(Debug, Default)]
-struct CallsInFlight {
-    /// Number of calls of each daemon; [`MAX_CALLS_PER_MEMBER`] if one is overdue.
-    by_member: FxHashMap<MemberName, usize>,
+/// A daemon that may make another call.
+#[derive(Debug)]
+struct FreeMember {
+    name: MemberName,
+    /// Number of its calls in flight.
+    calls: usize,
+    /// When its calls are expected to end, in monotonic milliseconds.
+    busy_until_ms: u64,
+}
+
+/// Daemons that may make calls in a round of requests.
+///
+/// They are counted once a round, not for each call.
+#[derive(Debug)]
+struct FreeMembers {
+    rows: Vec<FreeMember>,
 }
 
-impl CallsInFlight {
-    fn count(world: &World, now_ms: u64) -> Self {
-        let mut by_member: FxHashMap<MemberName, usize> = FxHashMap::default();
+impl FreeMembers {
+    /// Collects the daemons that have fewer than [`MAX_CALLS_PER_MEMBER`] calls in flight, none of them overdue.
+    fn collect(world: &World, now_ms: u64) -> Self {
+        let mut calls_by_member: FxHashMap<&MemberName, usize> = FxHashMap::default();
         for open in world.advice.open_calls.values() {
             let is_overdue = now_ms > open.expected_at_ms + MAX_OVERDUE_MS;
             let weight = if is_overdue { MAX_CALLS_PER_MEMBER } else { 1 };
-            *by_member.entry(open.member.clone()).or_default() += weight;
+            *calls_by_member.entry(&open.member).or_default() += weight;
         }
-        Self { by_member }
+        let members = world.members.iter().map(|record| &record.incarnation.member);
+        let rows = members.map(|name| FreeMember {
+            name: name.clone(),
+            calls: calls_by_member.get(name).copied().unwrap_or_default(),
+            busy_until_ms: world.advice.busy_until_ms.get(name).copied().unwrap_or_default(),
+        });
+        Self { rows: rows.filter(|row| row.calls < MAX_CALLS_PER_MEMBER).collect() }
     }
 
-    /// Returns whether a daemon may get another call.
-    fn accepts_call(&self, member: &MemberName) -> bool {
-        self.by_member.get(member).is_none_or(|calls| *calls < MAX_CALLS_PER_MEMBER)
+    /// Returns the daemon whose calls are expected to end first.
+    fn first_free(&self) -> Option<&FreeMember> {
+        self.rows.iter().min_by_key(|row| row.busy_until_ms)
     }
 
-    fn add(&mut self, member: &MemberName) {
-        *self.by_member.entry(member.clone()).or_default() += 1;
+    /// Counts a call that a daemon makes until `busy_until_ms`.
+    fn count_call(&mut self, member: &MemberName, busy_until_ms: u64) {
+        let Some(index) = self.rows.iter().position(|row| row.name == *member) else { return };
+        let row = &mut self.rows[index];
+        row.calls += 1;
+        row.busy_until_ms = busy_until_ms;
+        if row.calls >= MAX_CALLS_PER_MEMBER {
+            self.rows.swap_remove(index);
+        }
     }
 }
 
 /// Requests advice for ready steps that lack hosts, the most urgent first.
+///
+/// A round visits only the steps that are due for a call.
 pub fn request_advice(world: &mut World, now_ms: u64) {
     if !world.holding.is_holding() || world.local.is_stopping() || world.jobs.ready.is_empty() {
         return;
@@ -194,75 +223,72 @@
         return world.wake_by(world.advice.next_request_at_ms);
     }
     world.advice.next_request_at_ms = now_ms + MIN_ROUND_INTERVAL_MS;
-    let mut in_flight = CallsInFlight::count(world, now_ms);
-    let mut free_member = None;
+    world.jobs.advice_queue.release_due(now_ms);
+    if let Some(next_due_at_ms) = world.jobs.advice_queue.next_due_at_ms() {
+        world.wake_by(next_due_at_ms);
+    }
+    if world.jobs.advice_queue.first_due().is_some() {
+        request_due_advice(world, now_ms);
+    }
+}
+
+/// Selects hosts for the due steps and sends the calls, as many as a round may.
+fn request_due_advice(world: &mut World, now_ms: u64) {
+    let mut members = FreeMembers::collect(world, now_ms);
     let mut selectable_hosts = None;
     let mut remaining_selections = MAX_SELECTIONS_PER_ROUND;
     let recheck_at_ms =
         now_ms + RECHECK_DELAY_MS.max(world.jobs.ready.len() as u64 * RECHECK_DELAY_PER_STEP_MS);
-    for key in ready_steps_by_rank(world) {
-        let Some(step) = world.jobs.steps.get(key) else { continue };
-        let Some(cost) = world.jobs.get(step.job).and_then(|job| job.record.policy.advice) else { continue };
-        if step.advice.open_call.is_some() {
-            continue;
-        }
-        if now_ms < step.advice.next_call_at_ms {
-            let next_call_at_ms = step.advice.next_call_at_ms;
-            world.wake_by(next_call_at_ms);
+    while let Some(position) = world.jobs.advice_queue.first_due() {
+        let (_, key) = position;
+        world.counters.steps_visited += 1;
+        let Some(cost) = due_call_cost(world, key, now_ms) else {
+            world.jobs.advice_queue.remove_due(position);
             continue;
-        }
+        };
         if remaining_selections == 0 {
             return world.wake_by(world.advice.next_request_at_ms);
         }
         remaining_selections -= 1;
-        let Some(member) = free_member.take().or_else(|| next_free_member(world, &in_flight, now_ms)) else {
-            return;
-        };
+        let Some(member) = members.first_free() else { return };
+        if member.busy_until_ms > now_ms + PIPELINE_LEAD_MS {
+            return world.wake_by(member.busy_until_ms - PIPELINE_LEAD_MS);
+        }
+        let member = member.name.clone();
+        world.jobs.advice_queue.remove_due(position);
         let selectable_hosts =
             selectable_hosts.get_or_insert_with(|| SelectableHosts::collect(world, now_ms));
         let hosts = world.jobs.steps.get(key).map(|step| selectable_hosts.select_for(world, step, now_ms));
         let hosts = hosts.unwrap_or_default();
         if hosts.is_empty() {
-            free_member = Some(member);
-            if let Some(step) = world.jobs.steps.get_mut(key) {
-                step.advice.next_call_at_ms = recheck_at_ms;
-            }
+            world.jobs.schedule_advice_call(key, recheck_at_ms);
             world.wake_by(recheck_at_ms);
         } else {
-            in_flight.add(&member);
-            send_call(world, key, cost, hosts, member, now_ms);
+            let busy_until_ms = send_call(world, key, cost, hosts, &member, now_ms);
+            members.count_call(&member, busy_until_ms);
         }
     }
 }
 
-/// Returns the daemon whose calls are expected to end first.
-///
-/// `None` if every daemon is overdue or has [`MAX_CALLS_PER_MEMBER`] calls in flight. Also `None` if the chosen one is
-/// busy; a tick is then scheduled for the time at which it may get the call.
-fn next_free_member(world: &mut World, in_flight: &CallsInFlight, now_ms: u64) -> Option<MemberName> {
-    let member = world
-        .members
-        .iter()
-        .map(|member| &member.incarnation.member)
-        .filter(|name| in_flight.accepts_call(name))
-        .min_by_key(|name| world.advice.busy_until_ms.get(*name).copied().unwrap_or_default())?
-        .clone();
-    let busy_until_ms = world.advice.busy_until_ms.get(&member).copied().unwrap_or_default();
-    if busy_until_ms > now_ms + PIPELINE_LEAD_MS {
-        world.wake_by(busy_until_ms - PIPELINE_LEAD_MS);
+/// Returns the cost of a call for a step; `None` if the step needs none now.
+fn due_call_cost(world: &World, key: StepKey, now_ms: u64) -> Option<AdviceCost> {
+    let step = world.jobs.steps.get(key)?;
+    let may_call = step.advice.open_call.is_none() && now_ms >= step.advice.next_call_at_ms;
+    if !may_call || !world.jobs.ready.contains(key) {
         return None;
     }
-    Some(member)
+    world.jobs.get(step.job)?.record.policy.advice
 }
 
+/// Sends a call through a daemon, and returns when that daemon's calls are expected to end.
 fn send_call(
     world: &mut World,
     key: StepKey,
     cost: AdviceCost,
     hosts: Vec<HostKey>,
-    member: MemberName,
+    member: &MemberName,
     now_ms: u64,
-) {
+) -> u64 {
     world.advice.last_call_number += 1;
     let number = world.advice.last_call_number;
     let cost_ms = (cost.call_ms + cost.per_host_ms * hosts.len() as f64).ceil() as u64;
@@ -270,7 +296,7 @@
     *busy_until_ms = (*busy_until_ms).max(now_ms) + cost_ms;
     let expected_at_ms = *busy_until_ms;
     let abandon_at_ms = expected_at_ms + TIMEOUT_SLACK_MS;
-    let Some(step) = world.jobs.steps.get_mut(key) else { return };
+    let Some(step) = world.jobs.steps.get_mut(key) else { return expected_at_ms };
     step.advice.open_call = Some(number);
     let host_names =
         hosts.iter().filter_map(|host| world.hosts.get(*host)).map(|host| host.entry.name.clone());
@@ -281,16 +307,16 @@
         timeout_ms: abandon_at_ms + ABANDONED_CALL_MS - now_ms,
     };
     world.counters.advice_calls += 1;
-    if member == world.local.incarnation.member {
+    if *member == world.local.incarnation.member {
         world.emit(Effect::RequestAdvice { call, reply_to: None });
-    } else if let Some(record) = world.members.get(&member) {
+    } else if let Some(record) = world.members.get(member) {
         let address = record.peer_address.clone();
         world.emit(Effect::SendPeerMessage { address, message: PeerMessage::AdviceRequest(call) });
     }
     let open = OpenAdviceCall {
         step: key,
         hosts,
-        member,
+        member: member.clone(),
         sent_at_ms: now_ms,
         expected_at_ms,
         abandon_at_ms,
@@ -298,4 +324,5 @@
     };
     world.advice.open_calls.insert(number, open);
     world.wake_by(abandon_at_ms);
+    expected_at_ms
 }
--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -3,7 +3,6 @@
 mod advice;
 mod choose;
 mod gang;
-mod order;
 mod place;
 mod requirements;
 mod selectable;
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -14,7 +14,6 @@
 
 use crate::choose::{Candidate, choose_candidate};
 use crate::gang::place_gang;
-use crate::order::ready_steps_by_rank;
 use crate::requirements::{StepPolicy, StepRequirements};
 
 /// Timeout of an order to start a run, in milliseconds.
@@ -53,10 +52,12 @@
         return;
     }
     let may_start_inherited_jobs = may_start_inherited_jobs(world, now_ms);
-    for step in ready_steps_by_rank(world) {
+    let ready_steps: Vec<StepKey> = world.jobs.ready.iter_placeable().collect();
+    for step in ready_steps {
         if world.runs.start_window.available() == 0 {
             return;
         }
+        world.counters.steps_visited += 1;
         if may_place(world, step, may_start_inherited_jobs) {
             place_step(world, step, now_ms);
         }
--- a/crates/cassiahoist_runs/src/adopt.rs
+++ b/crates/cassiahoist_runs/src/adopt.rs
@@ -47,7 +47,6 @@
         .jobs
         .ready
         .iter()
-        .copied()
         .filter(|key| {
             world.jobs.steps.get(*key).is_some_and(|step| {
                 step.pending_tasks.len() < step.tasks.len()
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -117,7 +117,7 @@
     let Some(step) = world.jobs.steps.get_mut(step_key) else { return };
     step.pending_tasks.retain(|pending| *pending != task_key);
     if step.pending_tasks.is_empty() {
-        world.jobs.ready.remove(&step_key);
+        world.jobs.ready.remove(step_key);
     }
 }
 
@@ -139,7 +139,7 @@
     let (job, step_ready) = (step.job, step.state == StepState::Ready);
     let job_ended = world.jobs.get(job).is_none_or(|job| job.state.is_final());
     if step_ready && !job_ended {
-        world.jobs.ready.insert(step_key);
+        world.jobs.mark_ready(step_key);
     }
 }
 
--- a/crates/cassiahoist_runs/src/load.rs
+++ b/crates/cassiahoist_runs/src/load.rs
@@ -52,7 +52,7 @@
         let range = world.store_connection.followed_ranges.get(&space);
         range.map_or(0, |range| now_ms.saturating_sub(range.last_answer_at_ms))
     };
-    let ready_steps = world.jobs.ready.iter().filter_map(|step| world.jobs.steps.get(*step));
+    let ready_steps = world.jobs.ready.iter().filter_map(|step| world.jobs.steps.get(step));
     let (mut engaged_hosts, mut unresponsive_hosts) = (0, 0);
     for (_, host) in world.hosts.iter_engaged() {
         engaged_hosts += 1;
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -94,13 +94,13 @@
 fn finish_step(world: &mut World, step_key: StepKey, now_ms: u64) {
     let Some(step) = world.jobs.steps.get_mut(step_key) else { return };
     if step.pending_tasks.is_empty() {
-        world.jobs.ready.remove(&step_key);
+        world.jobs.ready.remove(step_key);
     }
     if step.done_count as usize == step.tasks.len() && step.state != StepState::Done {
         step.state = StepState::Done;
         step.advice = StepAdvice::default();
         let job = step.job;
-        world.jobs.ready.remove(&step_key);
+        world.jobs.ready.remove(step_key);
         world.jobs.blocked.remove(&step_key);
         advance_job(world, job, now_ms);
     }
@@ -140,7 +140,7 @@
             let has_pending_tasks = !step.pending_tasks.is_empty();
             world.jobs.blocked.remove(step_key);
             if has_pending_tasks {
-                world.jobs.ready.insert(*step_key);
+                world.jobs.mark_ready(*step_key);
             }
         }
     }
@@ -163,7 +163,7 @@
     let took_ms = unix_ms.saturating_sub(job.record.accepted_unix_ms);
     let (id, queue, steps) = (job.record.id, job.record.policy.queue.clone(), job.steps.clone());
     for step in steps {
-        world.jobs.ready.remove(&step);
+        world.jobs.ready.remove(step);
         world.jobs.blocked.remove(&step);
     }
     world.jobs.unrecorded_jobs.insert(job_key);
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -193,11 +193,11 @@
     let host = holder.host(0);
     let step_key = holder.app.world().jobs.get(job).unwrap().steps[0];
     let mut ticket = Ticket { text: Arc::from("t"), expires_at_ms: now_ms + 2_000, host_started_unix_ms: 1 };
-    holder.app.world_mut().jobs.steps[step_key].advice.approved_hosts.insert(host, ticket.clone());
+    holder.app.world_mut().jobs.approve_host(step_key, host, ticket.clone());
     holder.tick(10);
     assert!(holder.starts().is_empty());
     ticket.host_started_unix_ms = host_entry(0).started_unix_ms;
-    holder.app.world_mut().jobs.steps[step_key].advice.approved_hosts.insert(host, ticket);
+    holder.app.world_mut().jobs.approve_host(step_key, host, ticket);
     holder.tick(10);
     assert_eq!(holder.starts().len(), 1);
 }
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -56,6 +56,8 @@
     pub store_calls_unsent: u64,
     /// Calls for advice by this holder, including those that other daemons make for it.
     pub advice_calls: u64,
+    /// Ready steps that rounds of advice and of placement visited.
+    pub steps_visited: u64,
     /// Claims on the slice that this daemon won.
     pub claims: u64,
     /// Messages that the control thread received.
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -7,9 +7,10 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::SlotMap;
 
-use crate::advice::StepAdvice;
+use crate::advice::{StepAdvice, Ticket};
 use crate::keys::{HostKey, RunKey};
 pub use crate::keys::{JobKey, StepKey, TaskKey};
+use crate::ready_steps::{AdviceQueue, Position, Rank, ReadySteps};
 use crate::record::{JobRecord, JobState};
 use crate::rows::{IndexedRows, Row};
 use crate::spec::StepSpec;
@@ -128,7 +129,9 @@
     /// Tasks of all steps; [`Step::tasks`] lists the keys.
     pub tasks: SlotMap<TaskKey, Task>,
     /// Ready steps that may have pending tasks.
-    pub ready: FxHashSet<StepKey>,
+    pub ready: ReadySteps,
+    /// Ready steps whose queue needs advice, by when each may make its next call.
+    pub advice_queue: AdviceQueue,
     /// Steps that wait for earlier steps or their due time.
     pub blocked: FxHashSet<StepKey>,
     /// Jobs whose progress changed since it was last written to the store.
@@ -163,7 +166,7 @@
     pub fn remove_steps(&mut self, key: JobKey) {
         let Some(job) = self.rows.get_mut(key) else { return };
         for step_key in std::mem::take(&mut job.steps) {
-            self.ready.remove(&step_key);
+            self.ready.remove(step_key);
             self.blocked.remove(&step_key);
             if let Some(step) = self.steps.remove(step_key) {
                 for task_key in step.tasks {
@@ -173,6 +176,60 @@
         }
     }
 
+    /// Adds a step to the ready ones, which may have pending tasks.
+    pub fn mark_ready(&mut self, key: StepKey) {
+        let Some(position) = self.position(key) else { return };
+        self.ready.insert(key, position.0);
+        let Some(step) = self.steps.get(key) else { return };
+        let (lacks_advice, next_call_at_ms) =
+            (step.advice.approved_hosts.is_empty(), step.advice.next_call_at_ms);
+        if !self.needs_advice(key) {
+            return self.ready.mark_placeable(key);
+        }
+        if !lacks_advice {
+            self.ready.mark_placeable(key);
+        }
+        self.advice_queue.put_off(next_call_at_ms, position);
+    }
+
+    /// Returns whether the queue of a step's job needs advice.
+    fn needs_advice(&self, key: StepKey) -> bool {
+        let job = self.steps.get(key).and_then(|step| self.rows.get(step.job));
+        job.is_some_and(|job| job.record.policy.advice.is_some())
+    }
+
+    /// Records that the advice service approved a host for a step; placement visits the step from then on.
+    pub fn approve_host(&mut self, key: StepKey, host: HostKey, ticket: Ticket) {
+        if let Some(step) = self.steps.get_mut(key) {
+            step.advice.approved_hosts.insert(host, ticket);
+            self.ready.mark_placeable(key);
+        }
+    }
+
+    /// Records that the advice service rejected a host for a step.
+    pub fn reject_host(&mut self, key: StepKey, host: HostKey) {
+        if let Some(step) = self.steps.get_mut(key) {
+            step.advice.approved_hosts.remove(&host);
+            step.advice.rejected_hosts.insert(host);
+        }
+    }
+
+    /// Sets when a step may make its next call for advice, in monotonic milliseconds.
+    pub fn schedule_advice_call(&mut self, key: StepKey, at_ms: u64) {
+        let Some(step) = self.steps.get_mut(key) else { return };
+        step.advice.next_call_at_ms = at_ms;
+        if let Some(position) = self.position(key) {
+            self.advice_queue.put_off(at_ms, position);
+        }
+    }
+
+    /// Returns the position of a step in the order of placement; `None` if its job does not exist.
+    fn position(&self, key: StepKey) -> Option<Position> {
+        let job = self.rows.get(self.steps.get(key)?.job)?;
+        let rank = Rank { priority: job.record.policy.priority, job_added_at_ms: job.added_at_ms };
+        Some((rank, key))
+    }
+
     /// Iterates over the runs of a step's tasks, detached ones included.
     pub fn step_runs<'a>(&'a self, step: &'a Step) -> impl Iterator<Item = RunKey> + 'a {
         let tasks = step.tasks.iter().filter_map(|task_key| self.tasks.get(*task_key));
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod notices;
 pub mod orders;
 pub mod peer;
+pub mod ready_steps;
 pub mod record;
 pub mod rows;
 pub mod runs;
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -74,7 +74,7 @@
 fn print_waiting(sim: &Simulation) {
     let holder = sim.holder().and_then(|holder| sim.daemons[holder].app.as_ref());
     let Some(world) = holder.map(App::world) else { return };
-    for step in world.jobs.ready.iter().filter_map(|key| world.jobs.steps.get(*key)) {
+    for step in world.jobs.ready.iter().filter_map(|key| world.jobs.steps.get(key)) {
         println!(
             "waiting {} pending {} of {} {:?}",
             step.name,
