Give each host of the simulation an address of its own

The simulation numbered hosts in the last octet of an address, so that entries of hosts from 256 on could not be read and examples/load measured 256 hosts where it was told 1,100.

--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -173,8 +173,7 @@
     /// Creates a simulation with all daemons started.
     #[must_use]
     pub fn new(seed: u64, scenario: Scenario) -> Self {
-        let addresses: Vec<String> =
-            (0..scenario.hosts).map(|number| format!("10.9.0.{number}:8080")).collect();
+        let addresses: Vec<String> = (0..scenario.hosts).map(host_address).collect();
         let daemons = (0..scenario.daemons).filter_map(new_daemon).collect();
         let mut sim = Self {
             now_ms: 1_000,
@@ -374,6 +373,11 @@
     }
 }
 
+/// Returns the address at which a host accepts orders.
+fn host_address(host: usize) -> String {
+    format!("10.9.{}.{}:8080", host / 256, host % 256)
+}
+
 /// Returns the address at which a daemon listens for peers.
 fn peer_address(daemon: usize) -> String {
     format!("10.1.0.{daemon}:7720")
