Check only gangs that were partial since the last check

Cause: stop_partial_gangs went over all ready steps in each tick for adopted gangs that lack a member.

Change: a gang is noted when some of its tasks are placed and others pending, or as it becomes ready so, and only noted gangs are checked.

--- a/crates/cassiahoist_runs/src/adopt.rs
+++ b/crates/cassiahoist_runs/src/adopt.rs
@@ -36,24 +36,24 @@
     Some(key)
 }
 
-/// Stops adopted gangs that lack a member.
+/// Stops adopted gangs that lack a member. It visits only gangs that were partial since the last check.
 ///
 /// It waits until every run of an earlier holder is known or has expired.
 pub fn stop_partial_gangs(world: &mut World, now_ms: u64) {
-    if !world.holding.is_holding() || !may_start_inherited_jobs(world, now_ms) {
+    if !world.holding.is_holding()
+        || world.jobs.partial_gangs.is_empty()
+        || !may_start_inherited_jobs(world, now_ms)
+    {
         return;
     }
-    let partial_steps: Vec<StepKey> = world
-        .jobs
-        .ready
-        .iter()
+    let partial_steps: Vec<StepKey> = std::mem::take(&mut world.jobs.partial_gangs)
+        .into_iter()
+        .filter(|key| world.jobs.ready.contains(*key))
         .filter(|key| {
-            world.jobs.steps.get(*key).is_some_and(|step| {
-                step.pending_tasks.len() < step.tasks.len()
-                    && world.jobs.step_spec(step).is_some_and(|spec| spec.gang)
-            })
+            world.jobs.steps.get(*key).is_some_and(|step| step.pending_tasks.len() < step.tasks.len())
         })
         .collect();
+    world.counters.steps_visited += partial_steps.len() as u64;
     for step in partial_steps {
         let Some(step) = world.jobs.steps.get(step) else { continue };
         let runs: Vec<RunKey> = world.jobs.step_runs(step).collect();
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -118,6 +118,8 @@
     step.pending_tasks.retain(|pending| *pending != task_key);
     if step.pending_tasks.is_empty() {
         world.jobs.ready.remove(step_key);
+    } else {
+        world.jobs.note_partial_gang(step_key);
     }
 }
 
--- a/crates/cassiahoist_standins/tests/systems/backlog.rs
+++ b/crates/cassiahoist_standins/tests/systems/backlog.rs
@@ -7,11 +7,12 @@
 use cassiahoist_world::advice::AdviceAnswer;
 use cassiahoist_world::config::AdviceCost;
 use cassiahoist_world::event::Event;
+use cassiahoist_world::orders::{HostLists, Order, RunEnding};
 use cassiahoist_world::record::MemberRecord;
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::world::World;
 
-use crate::support::{TestDaemon, job_record, step, task_name};
+use crate::support::{TestDaemon, end, job_record, running, running_lists, step, task_name};
 
 /// Number of jobs that wait, one step each.
 const BACKLOG: u64 = 600;
@@ -191,3 +192,43 @@
     let tasks: Vec<String> = holder.starts().into_iter().map(|(_, task, _)| task).collect();
     assert_eq!(tasks, [task_name(300, 0, 0)]);
 }
+
+/// Guards against a check of all waiting gangs in each tick for one that lacks a member.
+#[test]
+fn waiting_gangs_are_not_visited_in_each_tick() {
+    let mut holder = TestDaemon::with_hosts(1);
+    leave_free(&mut holder, 0, Resources::default());
+    for id in 1..=BACKLOG {
+        holder.add_job(id, vec![StepSpec { gang: true, ..step(2) }]);
+    }
+    let visited = visited_in(&mut holder, 40);
+    let placement_rounds = 40 / 8 + 1;
+    assert!(visited <= BACKLOG * placement_rounds, "{visited} visits in 40 ticks");
+}
+
+/// Only one member of a gang still runs as a new holder adopts it: it is stopped, and the gang starts anew.
+///
+/// The members may be found before or after the gang's turn has come.
+#[test]
+fn adopted_gang_that_lacks_a_member_is_stopped() {
+    let is_stopped = |holder: &TestDaemon| {
+        holder.orders().any(|order| matches!(order.order, Order::Stop { run: Some(_), .. }))
+    };
+    let gang = StepSpec { gang: true, ..step(2) };
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_job(1, vec![gang.clone()]);
+    holder.report_lists(0, running_lists(vec![running(&task_name(1, 0, 0), 1)]));
+    assert!(is_stopped(&holder));
+
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_job(1, vec![step(1), StepSpec { depends_on: vec![0], ..gang }]);
+    let earlier = running(&task_name(1, 0, 0), 1);
+    holder.report_lists(0, running_lists(vec![earlier, running(&task_name(1, 1, 1), 1)]));
+    assert!(!is_stopped(&holder), "the gang's turn has not come");
+    let done = end(1, &task_name(1, 0, 0), 1, RunEnding::Done);
+    holder.report_lists(
+        0,
+        HostLists { ended: vec![done], ..running_lists(vec![running(&task_name(1, 1, 1), 1)]) },
+    );
+    assert!(is_stopped(&holder));
+}
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -56,7 +56,7 @@
     pub store_calls_unsent: u64,
     /// Calls for advice by this holder, including those that other daemons make for it.
     pub advice_calls: u64,
-    /// Ready steps that rounds of advice and of placement visited.
+    /// Ready steps that rounds of advice, rounds of placement and checks of gangs visited.
     pub steps_visited: u64,
     /// Searches for the hosts of one step by placement, each over all hosts that the step may use.
     pub host_searches: u64,
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs, their steps and their tasks.
 
+use std::collections::BTreeSet;
 use std::ops::Deref;
 use std::sync::Arc;
 
@@ -132,6 +133,8 @@
     pub ready: ReadySteps,
     /// Ready steps whose queue needs advice, by when each may make its next call.
     pub advice_queue: AdviceQueue,
+    /// Gangs of which some tasks were placed while others were pending, to be checked.
+    pub partial_gangs: BTreeSet<StepKey>,
     /// Steps that wait for earlier steps or their due time.
     pub blocked: FxHashSet<StepKey>,
     /// Jobs whose progress changed since it was last written to the store.
@@ -180,6 +183,7 @@
     pub fn mark_ready(&mut self, key: StepKey) {
         let Some(position) = self.position(key) else { return };
         self.ready.insert(key, position.0);
+        self.note_partial_gang(key);
         let Some(step) = self.steps.get(key) else { return };
         let (lacks_advice, next_call_at_ms) =
             (step.advice.approved_hosts.is_empty(), step.advice.next_call_at_ms);
@@ -230,6 +234,15 @@
         Some((rank, key))
     }
 
+    /// Notes a gang of which only some tasks are pending.
+    pub fn note_partial_gang(&mut self, key: StepKey) {
+        let Some(step) = self.steps.get(key) else { return };
+        let is_partial = !step.pending_tasks.is_empty() && step.pending_tasks.len() < step.tasks.len();
+        if is_partial && self.step_spec(step).is_some_and(|spec| spec.gang) {
+            self.partial_gangs.insert(key);
+        }
+    }
+
     /// Iterates over the runs of a step's tasks, detached ones included.
     pub fn step_runs<'a>(&'a self, step: &'a Step) -> impl Iterator<Item = RunKey> + 'a {
         let tasks = step.tasks.iter().filter_map(|task_key| self.tasks.get(*task_key));
