--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -3,9 +3,9 @@
 mod advice;
 mod choose;
 mod gang;
-mod order;
 mod place;
 mod requirements;
+mod room_bounds;
 mod selectable;
 
 pub use choose::{Candidate, choose_candidate};
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -55,6 +55,8 @@
     pub settle_ms: u64,
     /// Mean time between submissions, in milliseconds.
     pub mean_job_interval_ms: u64,
+    /// Number of jobs that callers submit at once when they begin to.
+    pub backlog_jobs: usize,
     /// Kind of jobs and configurations.
     pub workload: Workload,
     /// Faults with the time of their injection, in milliseconds.
@@ -73,6 +75,7 @@
             traffic_ms: 12_000,
             settle_ms: 25_000,
             mean_job_interval_ms: 250,
+            backlog_jobs: 0,
             workload: Workload::Plain,
             faults: Vec::new(),
             machine_limits: Vec::new(),
@@ -121,6 +124,8 @@
     pub tick_count: u64,
     /// Real time that its ticks have taken, in all incarnations.
     pub tick_time: Duration,
+    /// Real time that the longest of them took; the reader resets it.
+    pub longest_tick: Duration,
     last_tick_ms: u64,
     inbox: Vec<Event>,
 }
@@ -174,8 +179,7 @@
     /// Creates a simulation with all daemons started.
     #[must_use]
     pub fn new(seed: u64, scenario: Scenario) -> Self {
-        let addresses: Vec<String> =
-            (0..scenario.hosts).map(|number| format!("10.9.0.{number}:8080")).collect();
+        let addresses: Vec<String> = (0..scenario.hosts).map(host_address).collect();
         let daemons = (0..scenario.daemons).filter_map(new_daemon).collect();
         let mut sim = Self {
             now_ms: 1_000,
@@ -298,7 +302,9 @@
         }
         let tick_started = Instant::now();
         app.tick(now_ms, TIME_ZERO_UNIX_MS + now_ms);
-        daemon.tick_time += tick_started.elapsed();
+        let took = tick_started.elapsed();
+        daemon.tick_time += took;
+        daemon.longest_tick = daemon.longest_tick.max(took);
         daemon.tick_count += 1;
         let daemon_started_unix_ms = daemon.started_unix_ms;
         for effect in app.take_effects() {
@@ -383,6 +389,11 @@
     }
 }
 
+/// Returns the address at which a host accepts orders.
+fn host_address(host: usize) -> String {
+    format!("10.9.{}.{}:8080", host / 256, host % 256)
+}
+
 /// Returns the address at which a daemon listens for peers.
 fn peer_address(daemon: usize) -> String {
     format!("10.1.0.{daemon}:7720")
@@ -399,6 +410,7 @@
         link: Link::default(),
         tick_count: 0,
         tick_time: Duration::ZERO,
+        longest_tick: Duration::ZERO,
         last_tick_ms: 0,
         inbox: Vec::new(),
     })
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -187,12 +187,15 @@
     let mut holder = TestDaemon::with_hosts(60);
     let world = holder.app.world_mut();
     world.local.limits.link_mbps = 2;
-    world.members.insert(MemberRecord {
-        incarnation: "edge-1#1".parse().unwrap(),
-        peer_address: "10.1.0.1:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits { link_mbps: peer_link_mbps, ..MachineLimits::default() },
-    });
+    world.members.insert(
+        MemberRecord {
+            incarnation: "edge-1#1".parse().unwrap(),
+            peer_address: "10.1.0.1:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits { link_mbps: peer_link_mbps, ..MachineLimits::default() },
+        },
+        0,
+    );
     holder.tick(3_000);
     let mut job = job_record(1, vec![crate::support::step(400)]);
     Arc::make_mut(&mut job).spec.argument = "x".repeat(3_500);
