Request a lease at once after a claim without one

Cause: a claim or registration that the store answers with "no such lease" dropped the lease, but left the request for a new one to the time of the next renewal, 400 to 800 ms later.

Change: the request is due at once, as after a renewal with that answer.

Test: lease_is_requested_at_once_after_a_claim_without_one failed before (no request).

--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -10,6 +10,7 @@
     Transaction,
 };
 
+use crate::lease::forget_lease;
 use crate::step_down::clear_slice_tables;
 
 /// The only slice of a cell, for as long as cells are not divided.
@@ -188,7 +189,7 @@
         }
         Ok(reply) => {
             if let StoreReply::LeaseNotFound = reply {
-                world.store_connection.lease = None;
+                forget_lease(world, now_ms);
             }
             world.holding.apply_event(HoldingEvent::ClaimFailed);
             // The watch may lag behind the claim that caused the conflict.
--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -51,13 +51,19 @@
 
 /// Steps down after the store ended the lease and removed this daemon's entries.
 fn drop_lease(world: &mut World, now_ms: u64) {
-    world.store_connection.lease = None;
-    world.store_connection.next_lease_call_at_ms = now_ms;
+    forget_lease(world, now_ms);
     world.members.registered = false;
     world.log(LogRecord::new(EventId::LeaseLost));
     step_down(world, StepDownCause::Lapsed, now_ms);
 }
 
+/// Forgets a lease that the store does not know any more, and makes the request for a new one due.
+pub(crate) fn forget_lease(world: &mut World, now_ms: u64) {
+    world.store_connection.lease = None;
+    world.store_connection.next_lease_call_at_ms = now_ms;
+    world.wake_by(now_ms);
+}
+
 /// Requests a lease, or renews it when due. A stopping daemon requests no new one.
 pub fn maintain_lease(world: &mut World, now_ms: u64) {
     if world.store_connection.lease_in_flight {
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -268,6 +268,24 @@
     assert!(delay_ms <= 20, "{delay_ms} ms");
 }
 
+/// The claim shows first that the lease has ended; a renewal may be due only much later.
+///
+/// Without a lease the last holder can't claim again, and another daemon takes its work over.
+#[test]
+fn lease_is_requested_at_once_after_a_claim_without_one() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let world = holder.app.world_mut();
+    world.holding.last_holder = Some(world.local.incarnation.clone());
+    world.store_connection.followed_ranges.entry(KeySpace::Cell).or_default().revision = Some(80);
+    world.store_connection.next_lease_call_at_ms = world.holding.claim_won_at_ms().unwrap() + 5_000;
+    holder.tick(10);
+    claim_delay_ms(&mut holder, vec![claim_removed()]);
+    let claim = holder.store_calls().find(|call| call.purpose == StorePurpose::ClaimSlice).cloned().unwrap();
+    holder.answer_store(claim, Ok(StoreReply::LeaseNotFound));
+    holder.tick(1);
+    assert!(holder.store_calls().any(|call| call.purpose == StorePurpose::GrantLease));
+}
+
 /// A weak holder lost power together with all others and starts again while its claim is still in the store.
 ///
 /// Its tables are lost, so that a stronger daemon takes over at no greater cost.
