Pause before a registration is repeated

A registration that fails was sent again in the same tick. When the store refuses calls beyond its rate, and many daemons register at the same time, each repeats its own for as long as the refusals last.

Change: the next one is due 100 ms after the failure, as with the lease.

Test: refused_registration_is_repeated_after_a_pause failed before (0 ms).

--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -19,6 +19,9 @@
 /// Timeout of a registration, in milliseconds.
 const REGISTER_TIMEOUT_MS: u64 = 800;
 
+/// Delay before a failed registration is retried, in milliseconds.
+const REGISTER_RETRY_DELAY_MS: u64 = 100;
+
 /// Applies changes of members, the claim, the term and the declarations.
 pub fn apply_cell_changes(world: &mut World, now_ms: u64) {
     for update in world.inbox.take_range_updates(KeySpace::Cell) {
@@ -165,13 +168,16 @@
             Ok(StoreReply::Committed { .. }) => world.members.registered = true,
             // The lease ended before the entry was written.
             Ok(StoreReply::LeaseNotFound) => forget_lease(world, now_ms),
-            Ok(_) | Err(_) => {}
+            Ok(_) | Err(_) => world.members.next_register_at_ms = now_ms + REGISTER_RETRY_DELAY_MS,
         }
     }
     let Some(lease) = world.store_connection.lease else { return };
     if world.members.registered || world.members.register_in_flight || world.local.is_stopping() {
         return;
     }
+    if now_ms < world.members.next_register_at_ms {
+        return world.wake_by(world.members.next_register_at_ms);
+    }
     world.members.register_in_flight = true;
     let record = MemberRecord {
         incarnation: world.local.incarnation.clone(),
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -8,7 +8,8 @@
 use cassiahoist_world::members::MemberTable;
 use cassiahoist_world::record::{ClaimRecord, MemberRecord, TermRecord};
 use cassiahoist_world::store::{
-    KeySpace, StoreChange, StoreCompletion, StoreItem, StoreKey, StorePurpose, StoreReply, StoreValue,
+    KeySpace, StoreChange, StoreCompletion, StoreFailure, StoreItem, StoreKey, StorePurpose, StoreReply,
+    StoreValue,
 };
 
 use crate::support::{TestDaemon, job_record, step};
@@ -286,6 +287,28 @@
     assert!(holder.store_calls().any(|call| call.purpose == StorePurpose::GrantLease));
 }
 
+/// The store refuses registrations beyond its rate, and many daemons register at the same time.
+///
+/// If each repeated its own at once, none would get through.
+#[test]
+fn refused_registration_is_repeated_after_a_pause() {
+    let registration = |daemon: &TestDaemon| {
+        daemon.store_calls().find(|call| call.purpose == StorePurpose::RegisterMember).cloned()
+    };
+    let mut daemon = TestDaemon::standby();
+    daemon.app.world_mut().store_connection.lease = Some(7);
+    daemon.tick(1);
+    let call = registration(&daemon).unwrap();
+    daemon.answer_store(call, Err(StoreFailure::NotApplied));
+    let refused_ms = daemon.now_ms;
+    while registration(&daemon).is_none() {
+        daemon.tick(10);
+        assert!(daemon.now_ms < refused_ms + 1_000, "no registration");
+    }
+    let pause_ms = daemon.now_ms - refused_ms;
+    assert!((50..=200).contains(&pause_ms), "{pause_ms} ms");
+}
+
 /// A weak holder lost power together with all others and starts again while its claim is still in the store.
 ///
 /// Its tables are lost, so that a stronger daemon takes over at no greater cost.
--- a/crates/cassiahoist_world/src/members.rs
+++ b/crates/cassiahoist_world/src/members.rs
@@ -21,6 +21,8 @@
     pub registered: bool,
     /// Whether a call to register is in flight.
     pub register_in_flight: bool,
+    /// When to register next after a failed call, in monotonic milliseconds.
+    pub next_register_at_ms: u64,
 }
 
 impl MemberTable {
