Follow answer times with timeouts during adoption

What callers saw: after a change of the holder on the small twin, jobs waited three seconds more than the adoption takes.

Cause: a new holder discarded its answer times for 3 s, since slow answers during adoption must not make it release the slice. Timeouts of orders and the limit of open starts follow the same figures.

Change: answer times are measured from the start of the holding; windows of the first 3 s don't count as slow. The test failed before.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -22,9 +22,9 @@
 /// Consecutive slow windows after which the holder transfers the slice.
 const MAX_SLOW_WINDOWS: u32 = 2;
 
-/// Time after a claim during which no window is judged, in milliseconds.
+/// Time after a claim during which no window counts as slow, in milliseconds.
 ///
-/// The adoption explains slow answers then.
+/// The adoption explains slow answers then. Timeouts and the limit of open starts follow them all the same.
 const ADOPTION_GRACE_MS: u64 = 3_000;
 
 /// Tenure of the predecessor up to which a slow holder keeps the slice longer, in milliseconds.
@@ -40,7 +40,7 @@
 /// A daemon without live peers keeps the slice, however slow it is.
 pub fn detect_slow_holder(world: &mut World, now_ms: u64) {
     let tenure_ms = world.holding.claim_won_at_ms().map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
-    if !world.holding.is_holding() || tenure_ms < ADOPTION_GRACE_MS {
+    if !world.holding.is_holding() {
         world.holding.answer_times = AnswerTimeWindow::default();
         return;
     }
@@ -56,8 +56,13 @@
         let link_mbps = world.local.limits.link_mbps;
         let has_best_link = world.members.iter().all(|member| member.limits.link_mbps <= link_mbps);
         let starts_fill_link = world.runs.start_budget.measure_heavy_use(link_mbps, now_ms);
-        let cause =
-            if has_best_link && starts_fill_link { SlownessCause::Work } else { SlownessCause::Machine };
+        let cause = if tenure_ms < ADOPTION_GRACE_MS {
+            SlownessCause::Adoption
+        } else if has_best_link && starts_fill_link {
+            SlownessCause::Work
+        } else {
+            SlownessCause::Machine
+        };
         close_window(window, &mut world.runs.start_window, cause, now_ms);
     }
     let was_taken_over_recently = tenure_ms < SHORT_TENURE_MS
@@ -85,6 +90,8 @@
 /// What makes answers slow, if they are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SlownessCause {
+    /// The holder reads records and lists of hosts.
+    Adoption,
     /// Start orders take up the link, and no other daemon has a better one.
     Work,
     /// The machine gives this daemon less than its settings say.
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -235,3 +235,15 @@
 fn holder_whose_link_is_full_of_starts_leaves_the_slice_to_a_better_link() {
     assert!(play_busy_seconds(&mut busy_holder(20)));
 }
+
+/// A new holder's link is full of records and lists of hosts. Timeouts that did not allow for that settled half of its
+/// first start orders as unanswered, and each was sent again.
+#[test]
+fn start_timeouts_allow_for_slow_answers_during_adoption() {
+    let mut holder = TestDaemon::with_hosts(6);
+    assert!(!answer_orders_for(&mut holder, 1_000, 200));
+    holder.add_job(1, vec![crate::support::step(4)]);
+    holder.tick(10);
+    let mut starts = holder.orders().filter(|order| matches!(order.order, Order::Start { .. }));
+    assert!(starts.next().expect("a task starts").timeout_ms >= 800);
+}
