Send pace orders again until they may be in force

Callers would see: a job whose tasks are fillers never ends, or a filler goes on beside a serving task whose tail latency is over its target.

Cause: a pace counted as in force once the order was issued. The answer was ignored, so an order that was lost, refused by an unwell host or never sent was not repeated until the target changed. The runs that a new holder adopts counted as running at full pace, although the earlier holder may have paused them; the new one never resumed them, and fillers are exempt from the check for stalled runs. Class: a failure of the holder's own taken for success, and a decision never looked at again.

Fix: the pace of a run is unknown after adoption and after an order that may not have taken effect. An unknown pace is set at the next check, at responsive hosts only, 200 ms after a failure at the earliest.

Evidence: pace_order_that_failed_is_sent_again and adopted_filler_gets_the_pace_of_its_host fail before.

--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -37,7 +37,7 @@
         progress_percent: 0,
         last_progress_at_ms: now_ms,
         progress_clock_ms: 0,
-        pace_percent: 100,
+        pace_percent: (state == RunState::Starting).then_some(100),
     };
     let key = world.runs.rows.insert(run);
     if let Some(row) = world.hosts.get_mut(host) {
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -13,6 +13,7 @@
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
 use crate::lifecycle::{drop_run, requeue_placed_task, stop_run};
 use crate::outcome::break_gang;
+use crate::pace::apply_pace_answer;
 use crate::poll::schedule_poll;
 
 /// Timeout of a poll outside the regular schedule, in milliseconds.
@@ -61,7 +62,10 @@
             apply_start_answer(world, run, &completion, now_ms);
         }
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
-        Order::Stop { run: None, .. } | Order::SetPace { .. } => {}
+        Order::SetPace { run, percent, .. } => {
+            apply_pace_answer(world, run, percent, &completion.outcome, now_ms);
+        }
+        Order::Stop { run: None, .. } => {}
         Order::Poll { .. } => {
             let host = completion.order.host;
             let unsent_locally = completion.outcome.is_local_failure();
--- a/crates/cassiahoist_runs/src/pace.rs
+++ b/crates/cassiahoist_runs/src/pace.rs
@@ -5,7 +5,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::hosts::HostKey;
-use cassiahoist_world::orders::Order;
+use cassiahoist_world::orders::{Order, OrderOutcome, RefusalReason};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::{RunKey, RunState};
 
@@ -32,6 +32,9 @@
 /// Timeout of a pace order, in milliseconds.
 const PACE_ORDER_TIMEOUT_MS: u64 = 800;
 
+/// Delay before pace orders are sent again after one failed, in milliseconds.
+const PACE_RETRY_MS: u64 = 200;
+
 /// Adjusts the filler pace of a host to its worst tail latency.
 ///
 /// `worst_percent` is relative to the target; it is `None` without serving tasks, and then fillers run at full pace.
@@ -74,16 +77,37 @@
         .iter()
         .filter(|(_, run)| run.state == RunState::Running && !run.order_in_flight)
         .filter_map(|(key, run)| {
-            let target_percent = world.hosts.get(run.host)?.filler_pace_percent;
+            let host = world.hosts.get(run.host).filter(|host| host.unresponsive_since_ms.is_none())?;
             let (_, _, spec) = world.jobs.task_context(run.task)?;
-            (spec.filler && run.pace_percent != target_percent).then_some((key, target_percent))
+            let target_percent = host.filler_pace_percent;
+            (spec.filler && run.pace_percent != Some(target_percent)).then_some((key, target_percent))
         })
         .collect();
     for (key, percent) in due {
         let Some(run) = world.runs.rows.get_mut(key) else { continue };
-        run.pace_percent = percent;
+        run.pace_percent = Some(percent);
         let (host, order) =
             (run.host, Order::SetPace { run: key, task: run.name, run_number: run.run_number, percent });
         world.send_order(host, order, PACE_ORDER_TIMEOUT_MS, now_ms);
     }
 }
+
+/// Marks the pace of a run as unknown if the order to set it may not have taken effect. It is then sent again.
+pub(crate) fn apply_pace_answer(
+    world: &mut World,
+    key: RunKey,
+    percent: u8,
+    outcome: &OrderOutcome,
+    now_ms: u64,
+) {
+    match outcome {
+        OrderOutcome::Refused(RefusalReason::Unwell) | OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {}
+        OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => return,
+    }
+    let Some(run) = world.runs.rows.get_mut(key) else { return };
+    // A later order may have set another pace.
+    if run.pace_percent == Some(percent) {
+        run.pace_percent = None;
+        world.runs.next_pace_check_at_ms = world.runs.next_pace_check_at_ms.max(now_ms + PACE_RETRY_MS);
+    }
+}
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -97,6 +97,6 @@
         && !gang_starting
         && !serving
         && !spec.filler
-        && run.pace_percent > 0
+        && run.pace_percent != Some(0)
         && step.state == StepState::Ready
 }
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -7,6 +7,7 @@
 mod engagement;
 mod host_restarts;
 mod load;
+mod pace;
 mod placement;
 mod recording;
 mod runs;
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -71,8 +71,11 @@
     pub last_progress_at_ms: u64,
     /// The host's clock when it last reported other progress or confirmed the start, in milliseconds; 0 if unknown.
     pub progress_clock_ms: u64,
-    /// Share of processor time that the run was last given, in percent. It is below 100 only for fillers.
-    pub pace_percent: u8,
+    /// Share of processor time that the run was last ordered to take, in percent; 100 at its start.
+    ///
+    /// It is below 100 only for fillers. `None` if it is unknown, as for an adopted run or after an order that may not have
+    /// taken effect.
+    pub pace_percent: Option<u8>,
 }
 
 /// All runs that have resources reserved on a host.
