Give hosts their whole time for answers after a wait here

Callers would see: tasks start late and healthy hosts count as silent while many orders wait for connections.

Cause: a request's timeout also covered its wait for a connection, both for one of the 16 of a host and for one within the limit over all hosts. An order that waited for most of it was still sent, with too little time left for any answer. It ended as Unknown: the host counted as unresponsive, a start was settled by a stop order, and all polls were held for less long, which adds to the load. Polls are held for longer than their slack, so that a poll that waited for 300 ms could not be answered in time at all. Class: a failure of the holder's own taken for one of the other side.

Fix: the timeout counts from when the request may use or open a connection. The wait before has the same bound and ends as NoFreeConnection, a local cause. Orders are still not sent once their time since they were issued has passed.

Evidence: wait_for_a_connection_leaves_the_time_for_the_answer fails before (NoResponse).

--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -224,7 +224,7 @@
 
     /// Sets the limit of open connections to one address.
     ///
-    /// Requests beyond it wait for a connection, within their own timeouts.
+    /// Requests beyond it wait for a connection, each for its own timeout at most.
     #[must_use]
     pub fn with_max_connections(self, max_connections: usize) -> Self {
         Self { max_connections, ..self }
@@ -233,7 +233,7 @@
     /// Sets the limit of open connections to all addresses together.
     ///
     /// At the limit the least recently used idle connection is closed for a new one. If none is idle, requests wait
-    /// within their own timeouts.
+    /// for their own timeouts at most.
     #[must_use]
     pub fn with_max_open_connections(self, max_open_connections: usize) -> Self {
         let max_open_connections = max_open_connections.min(Semaphore::MAX_PERMITS);
@@ -259,8 +259,10 @@
 
     /// Sends a request and waits for the complete response.
     ///
-    /// `timeout` covers the wait for a connection, its opening and the response. If an idle connection closes before the
-    /// request is written to it, the request is sent on a new one.
+    /// The request waits for `timeout` at most until a connection may be used or opened, then for `timeout` at most until
+    /// the response is complete. So the remote side has the same time however long the request waited here.
+    ///
+    /// If an idle connection closes before the request is written to it, the request is sent on a new one.
     pub async fn exchange(&self, address: &str, request: FullRequest, timeout: Duration) -> Exchange {
         self.exchange_if(address, request, timeout, || true).await
     }
@@ -275,21 +277,28 @@
         timeout: Duration,
         may_send: impl Fn() -> bool,
     ) -> Exchange {
-        let started = Instant::now();
-        let deadline = started + timeout;
+        let wait_deadline = Instant::now() + timeout;
         let permits = self.lock_pools().get_or_create_permits(address, self.max_connections);
-        let Ok(Ok(_permit)) = timeout_at(deadline, permits.acquire()).await else {
+        let Ok(Ok(_permit)) = timeout_at(wait_deadline, permits.acquire()).await else {
             return Exchange::NotSent(UnsentCause::NoFreeConnection);
         };
         let idle = self.lock_pools().pop_idle(address);
         let request = match idle {
             None => request,
-            Some(connection) => match self.send(address, connection, request, deadline, &may_send).await {
-                SendOutcome::Completed(exchange) => return exchange,
-                SendOutcome::Unwritten(request) => request,
-            },
+            Some(connection) => {
+                let deadline = Instant::now() + timeout;
+                match self.send(address, connection, request, deadline, &may_send).await {
+                    SendOutcome::Completed(exchange) => return exchange,
+                    SendOutcome::Unwritten(request) => request,
+                }
+            }
+        };
+        let open_permit = match self.acquire_open_permit(wait_deadline).await {
+            Ok(open_permit) => open_permit,
+            Err(cause) => return Exchange::NotSent(cause),
         };
-        let connection = match self.open_connection(address, started, deadline).await {
+        let deadline = Instant::now() + timeout;
+        let connection = match connect_in_time(address, open_permit, deadline).await {
             Ok(connection) => connection,
             Err(cause) => return Exchange::NotSent(cause),
         };
@@ -330,36 +339,21 @@
         outcome
     }
 
-    /// Opens a connection within the limit over all addresses. `started` is when the request began to wait.
-    async fn open_connection(
-        &self,
-        address: &str,
-        started: Instant,
-        deadline: Instant,
-    ) -> Result<Connection, UnsentCause> {
-        let open_permit = match Arc::clone(&self.open_permits).try_acquire_owned() {
-            Ok(open_permit) => open_permit,
-            Err(_none_left) => self.wait_for_open_permit(deadline).await?,
-        };
-        let (connect_started, is_cut_short) = (Instant::now(), deadline < Instant::now() + CONNECT_TIMEOUT);
-        let connect_deadline = deadline.min(connect_started + CONNECT_TIMEOUT);
-        let connected = timeout_at(connect_deadline, connect(address, open_permit)).await;
-        connected.unwrap_or_else(|_elapsed| {
-            // The wait for a free connection left too little of the timeout.
-            let waited_most = connect_started - started > deadline - connect_started;
-            let cause = if is_cut_short && waited_most {
-                UnsentCause::NoFreeConnection
-            } else {
-                UnsentCause::ConnectTimeout
-            };
-            Err(cause)
-        })
+    /// Returns the permit to open a connection within the limit over all addresses, waiting for it if necessary.
+    async fn acquire_open_permit(&self, wait_deadline: Instant) -> Result<OwnedSemaphorePermit, UnsentCause> {
+        match Arc::clone(&self.open_permits).try_acquire_owned() {
+            Ok(open_permit) => Ok(open_permit),
+            Err(_none_left) => self.wait_for_open_permit(wait_deadline).await,
+        }
     }
 
     /// Waits until a connection to any address closes, after closing an idle one.
-    async fn wait_for_open_permit(&self, deadline: Instant) -> Result<OwnedSemaphorePermit, UnsentCause> {
+    async fn wait_for_open_permit(
+        &self,
+        wait_deadline: Instant,
+    ) -> Result<OwnedSemaphorePermit, UnsentCause> {
         let _waiting = WaitingRequest::new(self);
-        match timeout_at(deadline, Arc::clone(&self.open_permits).acquire_owned()).await {
+        match timeout_at(wait_deadline, Arc::clone(&self.open_permits).acquire_owned()).await {
             Ok(Ok(open_permit)) => Ok(open_permit),
             Ok(Err(_)) | Err(_) => Err(UnsentCause::NoFreeConnection),
         }
@@ -384,6 +378,17 @@
     })
 }
 
+/// Opens a connection until the deadline, and for [`CONNECT_TIMEOUT`] at most.
+async fn connect_in_time(
+    address: &str,
+    open_permit: OwnedSemaphorePermit,
+    deadline: Instant,
+) -> Result<Connection, UnsentCause> {
+    let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let connected = timeout_at(connect_deadline, connect(address, open_permit)).await;
+    connected.unwrap_or(Err(UnsentCause::ConnectTimeout))
+}
+
 /// Opens a connection, which keeps the permit until its socket is closed.
 async fn connect(address: &str, open_permit: OwnedSemaphorePermit) -> Result<Connection, UnsentCause> {
     let stream = TcpStream::connect(address).await.map_err(|error| connect_failure(&error))?;
--- a/crates/cassiahoist_traffic/tests/http_client.rs
+++ b/crates/cassiahoist_traffic/tests/http_client.rs
@@ -321,3 +321,41 @@
     listener.set_nonblocking(true).unwrap();
     assert!(listener.accept().is_err(), "no second connection was opened");
 }
+
+/// Answers each request after `response_time`.
+async fn serve_slowly(response_time: Duration) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |_request| async move {
+                tokio::time::sleep(response_time).await;
+                Ok::<_, Infallible>(text_response(200, "text/plain", String::new()))
+            });
+            let connection =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            drop(tokio::spawn(connection));
+        }
+    }));
+    address
+}
+
+/// A request waits here for a connection, and the host then has as much time for its answer as for any other.
+///
+/// The wait was taken from the host's time, so that a holder with many open requests took hosts for silent ones.
+#[tokio::test]
+async fn wait_for_a_connection_leaves_the_time_for_the_answer() {
+    const ANSWER_TIME: Duration = Duration::from_millis(200);
+    const TIMEOUT: Duration = Duration::from_millis(300);
+    let addresses = [serve_slowly(ANSWER_TIME).await, serve_slowly(ANSWER_TIME).await];
+    let one_per_address = HttpClient::new().with_max_connections(1);
+    let one_in_all = HttpClient::new().with_max_open_connections(1);
+    for (client, second_address) in [(one_per_address, &addresses[0]), (one_in_all, &addresses[1])] {
+        let (first, second) = tokio::join!(
+            client.exchange(&addresses[0], request(), TIMEOUT),
+            client.exchange(second_address, request(), TIMEOUT),
+        );
+        assert!(matches!(first, Exchange::Response(_)), "{first:?}");
+        assert!(matches!(second, Exchange::Response(_)), "{second:?}");
+    }
+}
