--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -8,6 +8,7 @@
 mod host_restarts;
 mod link_budget;
 mod load;
+mod pace;
 mod placement;
 mod recording;
 mod runs;
