Judge the progress of a run only by lists that report it

Callers saw: runs of a slow holder were stopped as stalled and started again elsewhere, although they made progress.

Cause: a run counts as stalled without progress for 1.3 s while its host answers. Any answer of the host counted, so that answers to starts and stops between two polls that were far apart, as at a holder with slow ticks or a full link, made up for missing lists. The time until the first progress counted from the issue of the start order, with the time that the order waited on the link and its answer in the queue, and a run that no poll had listed was judged too.

Change: a run is judged only once a poll has listed it and while the latest lists of its host, by the time of their arrival, are younger than 1.3 s. The time until the first progress counts from the confirmed start.

Evidence: run_is_not_stopped_while_no_lists_report_its_progress and run_is_not_stopped_for_the_time_that_its_start_order_took fail before. run_that_is_listed_without_progress_is_stopped guards the check itself.

--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -129,8 +129,7 @@
     };
     let run = world.runs.rows.get_mut(key)?;
     if run.state == RunState::Starting {
-        run.state = RunState::Running;
-        run.confirmed_at_ms = now_ms;
+        run.confirm_start(now_ms);
     }
     run.listed_by_host = true;
     if run.progress_percent != report.progress_percent {
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -68,6 +68,9 @@
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
                 && accept_lists_in_order(world, host, completion.host_clock_ms)
             {
+                if let Some(host) = world.hosts.get_mut(host) {
+                    host.last_lists_at_ms = completion.completed_at_ms;
+                }
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
             if let Some(host) = world.hosts.get_mut(host) {
@@ -152,7 +155,7 @@
     match outcome {
         OrderOutcome::Done { .. } => {
             if run.state == RunState::Starting {
-                run.state = RunState::Running;
+                run.confirm_start(now_ms);
             }
             run.confirmed_at_ms = now_ms;
         }
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -8,8 +8,8 @@
 
 /// Shortest time without progress after which a run is stopped, in milliseconds.
 ///
-/// A run whose earlier progress was slower gets more time, see [`STALL_FACTOR`]. A host that has not answered for
-/// this long reports no progress, so its runs are not judged.
+/// A run whose earlier progress was slower gets more time, see [`STALL_FACTOR`]. Without lists of its host for this
+/// long its progress is not known, so it is not judged.
 const MIN_STALL_TIMEOUT_MS: u64 = 1_300;
 
 /// Bounds on the time until a run reports its first progress, in milliseconds.
@@ -65,16 +65,18 @@
 
 /// Returns whether a run should be progressing.
 ///
-/// An unresponsive host, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
+/// Missing reports of its host, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
 /// progress, so none of them counts as a stall.
 fn expects_progress(world: &World, run: &Run, now_ms: u64) -> bool {
     let Some((_, step, spec)) = world.jobs.task_context(run.task) else { return false };
-    let responsive = world.hosts.get(run.host).is_some_and(|host| {
-        host.unresponsive_since_ms.is_none() && now_ms < host.last_answer_at_ms + MIN_STALL_TIMEOUT_MS
-    });
+    // Answers to other orders report no progress, however often a slow holder sends them between two polls.
+    let is_reported = run.listed_by_host
+        && world.hosts.get(run.host).is_some_and(|host| {
+            host.unresponsive_since_ms.is_none() && now_ms < host.last_lists_at_ms + MIN_STALL_TIMEOUT_MS
+        });
     let gang_starting = spec.gang && run.progress_percent == 0;
     let serving = spec.runs_until_cancelled && run.progress_percent >= 100;
-    responsive
+    is_reported
         && !gang_starting
         && !serving
         && !spec.filler
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -11,6 +11,7 @@
 mod recording;
 mod runs;
 mod slow_holder;
+mod slow_reports;
 mod store_watch;
 mod support;
 mod unsent_orders;
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -106,6 +106,8 @@
     ///
     /// Before the first answer, when the row was created.
     pub last_answer_at_ms: u64,
+    /// When the latest lists of the host arrived, in monotonic milliseconds; 0 before the first.
+    pub last_lists_at_ms: u64,
     /// Since when the host has been unresponsive, in monotonic milliseconds; `None` if it answers.
     pub unresponsive_since_ms: Option<u64>,
     /// Host clock minus this daemon's monotonic clock at the last answer, in milliseconds.
@@ -152,6 +154,7 @@
             adoption: Adoption::Unknown,
             poll: Poll::default(),
             last_answer_at_ms: now_ms,
+            last_lists_at_ms: 0,
             unresponsive_since_ms: None,
             clock_offset_ms: 0,
             clock_known: false,
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -67,12 +67,23 @@
     pub next_stop_at_ms: u64,
     /// Progress that the host last reported, in percent.
     pub progress_percent: u32,
-    /// When the progress last changed, in monotonic milliseconds.
+    /// When the progress last changed, in monotonic milliseconds. Before the first, when the start was confirmed.
     pub last_progress_at_ms: u64,
     /// Share of processor time that the run was last given, in percent. It is below 100 only for fillers.
     pub pace_percent: u8,
 }
 
+impl Run {
+    /// Records that the host confirmed the start.
+    ///
+    /// Progress is expected from now on: the start order may have waited on the holder's link.
+    pub fn confirm_start(&mut self, now_ms: u64) {
+        self.state = RunState::Running;
+        self.confirmed_at_ms = now_ms;
+        self.last_progress_at_ms = now_ms;
+    }
+}
+
 /// All runs that have resources reserved on a host.
 #[derive(Debug, Default)]
 pub struct RunTable {
