--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -72,6 +72,9 @@
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
                 && accept_lists_in_order(world, host, completion.host_clock_ms)
             {
+                if let Some(host) = world.hosts.get_mut(host) {
+                    host.lists_received_at_ms = completion.completed_at_ms;
+                }
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
             if let Some(host) = world.hosts.get_mut(host) {
@@ -157,7 +160,7 @@
     match outcome {
         OrderOutcome::Done { .. } => {
             if run.state == RunState::Starting {
-                run.state = RunState::Running;
+                run.confirm_start(now_ms);
             }
             run.confirmed_at_ms = now_ms;
             run.progress_clock_ms = run.progress_clock_ms.max(host_clock_ms.unwrap_or_default());
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -13,6 +13,7 @@
 mod recording;
 mod runs;
 mod slow_holder;
+mod slow_reports;
 mod stalls;
 mod store_watch;
 mod support;
