Keep connections to the store for the daemon's lease

Callers would see: a change of holder, with its pause, while the store is slow and callers submit many jobs.

Cause: all calls to the store share 32 connections, first come, first served. More than 32 slow writes of jobs or progress kept the renewal of the lease waiting for longer than the lease lasts. Class: one resource of the process shared by unlike users without a share each.

Fix: grants, renewals and ends of the lease have two connections of their own.

Evidence: renewal_of_the_lease_does_not_wait_for_other_calls fails before (the renewal was not sent within its timeout of 1 s).

--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -9,12 +9,17 @@
 use crate::http_client::{Exchange, HttpClient};
 use crate::protocol::{StorePage, StoreProtocol};
 
+/// Most connections for calls that keep the lease. One such call is open at a time, and one that timed out may still close.
+const LEASE_CONNECTIONS: usize = 2;
+
 /// Executes operations on the store and reports their outcomes to control.
 #[derive(Clone, Debug)]
 pub struct StoreClient<P> {
     protocol: P,
     address: String,
     http: HttpClient,
+    /// Connections of the calls that keep the lease, which other calls can't use up.
+    lease_http: HttpClient,
     clock: MonotonicClock,
     control: ControlLink,
 }
@@ -23,7 +28,22 @@
     /// Creates a client for the store at `address`, `ip:port`; deadlines refer to `clock`.
     #[must_use]
     pub fn new(protocol: P, address: String, clock: MonotonicClock, control: ControlLink) -> Self {
-        Self { protocol, address, http: HttpClient::new(), clock, control }
+        Self {
+            protocol,
+            address,
+            http: HttpClient::new(),
+            lease_http: HttpClient::new().with_max_connections(LEASE_CONNECTIONS),
+            clock,
+            control,
+        }
+    }
+
+    /// Returns the client whose connections are for an operation.
+    fn http_for(&self, op: &StoreOp) -> &HttpClient {
+        match op {
+            StoreOp::GrantLease(_) | StoreOp::RenewLease(_) | StoreOp::EndLease(_) => &self.lease_http,
+            StoreOp::Get(_) | StoreOp::List(_) | StoreOp::Watch { .. } | StoreOp::Commit(_) => &self.http,
+        }
     }
 
     /// Starts a call without waiting for it.
@@ -68,7 +88,7 @@
             .encode_op(op, after)
             .map_err(|_unencodable| StoreFailure::NotSent(UnsentCause::Unencodable))?;
         let timeout = self.clock.duration_until(deadline_ms);
-        match self.http.exchange(&self.address, request, timeout).await {
+        match self.http_for(op).exchange(&self.address, request, timeout).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(op, response.status().as_u16(), response.body())
             }
--- a/crates/cassiahoist_traffic/tests/store_client.rs
+++ b/crates/cassiahoist_traffic/tests/store_client.rs
@@ -11,7 +11,9 @@
 use cassiahoist_traffic::protocol::{FullRequest, StorePage, StoreProtocol};
 use cassiahoist_traffic::store_client::StoreClient;
 use cassiahoist_world::event::Event;
-use cassiahoist_world::store::{KeySpace, StoreCall, StoreFailure, StoreOp, StorePurpose, StoreReply};
+use cassiahoist_world::store::{
+    KeySpace, StoreCall, StoreFailure, StoreOp, StorePurpose, StoreReply, Transaction,
+};
 use hyper::Request;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -77,3 +79,63 @@
     };
     assert_eq!(completion.outcome, Ok(StoreReply::Items { items: Vec::new(), revision: 1 }));
 }
+
+/// A store protocol that names the operation in the path.
+#[derive(Clone, Copy, Debug)]
+struct NamedOperations;
+
+impl StoreProtocol for NamedOperations {
+    fn encode_op(&self, op: &StoreOp, _page: Option<&str>) -> Result<FullRequest, HoistError> {
+        let path = if matches!(op, StoreOp::RenewLease(_)) { "/renew" } else { "/other" };
+        let request = Request::builder().uri(path).header("host", "store");
+        request
+            .body(http_body_util::Full::default())
+            .map_err(|error| HoistError::InvalidMessage(error.to_string()))
+    }
+
+    fn decode_reply(&self, _op: &StoreOp, _status: u16, _body: &[u8]) -> Result<StorePage, StoreFailure> {
+        Ok(StorePage { reply: StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 }, next_after: None })
+    }
+}
+
+/// Answers renewals at once, and nothing else.
+async fn serve_renewals(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
+            if request.uri().path() != "/renew" {
+                std::future::pending::<()>().await;
+            }
+            Ok::<_, Infallible>(text_response(200, "text/plain", String::new()))
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        drop(tokio::spawn(connection));
+    }
+}
+
+/// Callers submit more jobs than the store writes at the moment.
+///
+/// Their calls took all connections to the store, so that the lease was not renewed and the daemon lost its claim.
+#[tokio::test]
+async fn renewal_of_the_lease_does_not_wait_for_other_calls() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(tokio::spawn(serve_renewals(listener)));
+    let clock = MonotonicClock::new();
+    let (sender, inputs) = sync_channel(128);
+    let client = StoreClient::new(NamedOperations, address, clock, ControlLink::new(sender));
+    let issued_at_ms = clock.now_ms();
+    let execute = |purpose, op| {
+        client.execute(StoreCall { purpose, op, deadline_ms: issued_at_ms + 1_000 }, issued_at_ms);
+    };
+    for number in 1..=100 {
+        execute(StorePurpose::StoreJob(number), StoreOp::Commit(Transaction::default()));
+    }
+    execute(StorePurpose::RenewLease, StoreOp::RenewLease(7));
+    let input = tokio::task::spawn_blocking(move || inputs.recv_timeout(Duration::from_secs(10)));
+    let Ok(ControlInput::Event(Event::StoreCompleted(first))) = input.await.unwrap() else {
+        panic!("the store client reported no completion")
+    };
+    assert_eq!(first.purpose, StorePurpose::RenewLease);
+    assert_eq!(first.outcome, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 }));
+}
