Count starts that another host refused as answered

Callers would see: tasks start ever more slowly at a holder that has held for long.

Cause: a start order that another host refused at the address of its own stayed counted as open, since the removal of the replaced host skipped the count. Class: one resource of the holder that is not given back.

Fix: each completed start order is counted before its answer is looked at.

Evidence: start_refused_by_another_host_is_no_longer_open fails before (2 open in place of 0).

--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -38,6 +38,9 @@
         if completion.order.fence < world.holding.tables_fence || !world.holding.loading.jobs_loaded {
             continue;
         }
+        if let Order::Start { .. } = completion.order.order {
+            world.runs.start_window.count_answered();
+        }
         detect_host_restart(world, &completion, now_ms);
         update_reachability(world, &completion, now_ms);
         // A host also refuses an order that carries the fence of an earlier claim of this daemon.
@@ -57,10 +60,7 @@
 
 fn apply_answer(world: &mut World, completion: OrderCompletion, now_ms: u64) {
     match completion.order.order {
-        Order::Start { run, .. } => {
-            world.runs.start_window.count_answered();
-            apply_start_answer(world, run, &completion, now_ms);
-        }
+        Order::Start { run, .. } => apply_start_answer(world, run, &completion, now_ms),
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
         Order::SetPace { run, percent, .. } => {
             apply_pace_answer(world, run, percent, &completion.outcome, now_ms);
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -94,3 +94,20 @@
     let task = holder.task(&task_name(1, 0, 0));
     assert_eq!(holder.app.world().jobs.tasks[task].last_run_number, 2);
 }
+
+/// Starts that another host refuses at the address of their own are answered, too.
+///
+/// They counted as open for ever, and left ever less room for other starts under the limit.
+#[test]
+fn start_refused_by_another_host_is_no_longer_open() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_job(1, vec![step(2)]);
+    holder.tick(10);
+    let starts: Vec<HostOrder> =
+        holder.orders().filter(|order| matches!(order.order, Order::Start { .. })).cloned().collect();
+    assert_eq!(holder.app.world().runs.start_window.open(), 2);
+    for start in starts {
+        holder.answer(start, OrderOutcome::Refused(RefusalReason::OtherLife), Some(2_000));
+    }
+    assert_eq!(holder.app.world().runs.start_window.open(), 0);
+}
