Keep one regular poll open at each host after stops

Callers would see: a holder on a weak machine or a full link does ever less after it had to stop many runs.

Cause: the answer to the poll outside the schedule, which follows a confirmed stop, passed for the answer to the regular poll. Another regular poll went out although the host still held the last one, and each then had its own successor. So each stop added a poll that was held at the host, until two of them were answered in the same tick. Polls took connections, link and ticks in proportion to the stops. Class: work that grows with the backlog; one resource shared by unlike users.

Fix: polls outside the schedule are counted, and their answers leave the schedule alone. A run whose stop was confirmed is settled by that poll itself; it used to take the additional regular poll, since the other one is issued in the same millisecond as the confirmation. A host has executed the stop by then, so that its lists are later.

Evidence: answer_to_an_extra_poll_leaves_the_regular_poll_open (2 more regular polls after 2 stops) and regular_poll_follows_the_answer_to_the_last_one fail before; no_extra_poll_is_open_without_a_claim guards the count.

--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -181,7 +181,9 @@
         .filter(|run| !listed.contains(run))
         .filter(|run| {
             world.runs.rows.get(*run).is_some_and(|run| match run.state {
-                RunState::Running | RunState::Settled => run.confirmed_at_ms < sent_ms,
+                RunState::Running => run.confirmed_at_ms < sent_ms,
+                // The extra poll goes out when the stop is confirmed.
+                RunState::Settled => run.confirmed_at_ms <= sent_ms,
                 RunState::Starting | RunState::Unsettled | RunState::Stopping => false,
             })
         })
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -66,15 +66,19 @@
             apply_pace_answer(world, run, percent, &completion.outcome, now_ms);
         }
         Order::Stop { run: None, .. } => {}
-        Order::Poll { .. } => {
+        Order::Poll { lease_until_ms, wait_ms, .. } => {
             let host = completion.order.host;
+            let may_be_extra = lease_until_ms.is_none() && wait_ms == 0;
             let unsent_locally = completion.outcome.is_local_failure();
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
                 && accept_lists_in_order(world, host, completion.host_clock_ms)
             {
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
-            if let Some(host) = world.hosts.get_mut(host) {
+            let Some(host) = world.hosts.get_mut(host) else { return };
+            if may_be_extra && host.open_extra_polls > 0 {
+                host.open_extra_polls -= 1;
+            } else {
                 schedule_poll(host, completion.host_clock_ms.is_some(), now_ms);
                 if unsent_locally {
                     host.poll.next_ms = now_ms + UNSENT_RETRY_MS;
@@ -242,11 +246,15 @@
     }
 }
 
-/// Polls a host outside the regular schedule.
+/// Polls a host outside the regular schedule. Does nothing if this daemon has no claim.
 ///
 /// The open poll may wait much longer.
 fn poll_immediately(world: &mut World, key: HostKey, now_ms: u64) {
-    let Some(host) = world.hosts.get(key) else { return };
+    if world.holding.fence().is_none() {
+        return;
+    }
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    host.open_extra_polls += 1;
     let last_end_recorded = host.last_end_recorded;
     let order = Order::Poll { lease_until_ms: None, last_end_recorded, wait_ms: 0 };
     world.counters.polls += 1;
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod pace;
 mod placement;
+mod polls;
 mod recording;
 mod runs;
 mod slow_holder;
--- /dev/null
+++ b/crates/cassiahoist_standins/tests/systems/polls.rs
@@ -0,0 +1,78 @@
+//! Polls of hosts: one regular poll is open at a time, and extra ones go out beside it.
+
+use cassiahoist_core::prelude::*;
+use cassiahoist_world::event::Event;
+use cassiahoist_world::holding::HoldingEvent;
+use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome};
+use cassiahoist_world::peer::{PeerMessage, PeerSender};
+
+use crate::support::{TestDaemon, running, running_lists, step, task_name};
+
+/// Returns the orders of the last tick that satisfy a condition.
+fn find_orders(holder: &TestDaemon, wanted: fn(&Order) -> bool) -> Vec<HostOrder> {
+    holder.orders().filter(|order| wanted(&order.order)).cloned().collect()
+}
+
+fn is_poll(order: &Order) -> bool {
+    matches!(order, Order::Poll { .. })
+}
+
+/// Cancels the job, so that its runs are stopped.
+fn cancel(holder: &mut TestDaemon) {
+    let from = PeerSender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    holder.receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(1)) });
+}
+
+/// A poll outside the schedule shows whether a stopped run has ended, while the host holds the regular poll.
+///
+/// Its answer passed for that of the regular poll, and another regular one went out. Each stop added one for good, so that
+/// polls took ever more connections and time.
+#[test]
+fn answer_to_an_extra_poll_leaves_the_regular_poll_open() {
+    let mut holder = TestDaemon::with_running_tasks(1, 2);
+    cancel(&mut holder);
+    let still_listed =
+        || running_lists(vec![running(&task_name(1, 0, 0), 1), running(&task_name(1, 0, 1), 1)]);
+    let mut regular_polls = 0;
+    for stop in find_orders(&holder, |order| matches!(order, Order::Stop { .. })) {
+        holder.answer(stop, OrderOutcome::Done { lists: None }, Some(2_010));
+        let extra = find_orders(&holder, |order| matches!(order, Order::Poll { lease_until_ms: None, .. }));
+        assert_eq!(extra.len(), 1);
+        let lists = Some(still_listed());
+        holder.answer(extra[0].clone(), OrderOutcome::Done { lists }, Some(2_020));
+        regular_polls += find_orders(&holder, is_poll).len();
+    }
+    assert_eq!(regular_polls, 0, "the regular poll is still open");
+    assert!(holder.app.world().hosts.get(holder.host(0)).unwrap().poll.sent_ms.is_some());
+}
+
+/// The next regular poll follows the answer to the open one, although an extra poll was answered between.
+#[test]
+fn regular_poll_follows_the_answer_to_the_last_one() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_job(1, vec![step(1)]);
+    holder.tick(10);
+    let regular = find_orders(&holder, is_poll).remove(0);
+    holder.confirm_starts();
+    cancel(&mut holder);
+    let stop = find_orders(&holder, |order| matches!(order, Order::Stop { .. })).remove(0);
+    holder.answer(stop, OrderOutcome::Done { lists: None }, Some(2_010));
+    let extra = find_orders(&holder, is_poll).remove(0);
+    for (poll, host_clock_ms, following_polls) in [(extra, 2_020, 0), (regular, 2_030, 1)] {
+        let lists = Some(running_lists(vec![running(&task_name(1, 0, 0), 1)]));
+        holder.answer(poll, OrderOutcome::Done { lists }, Some(host_clock_ms));
+        assert_eq!(find_orders(&holder, is_poll).len(), following_polls);
+    }
+}
+
+/// A stop is confirmed after the lease lapsed, so no extra poll goes out. None may count as open after the next claim.
+#[test]
+fn no_extra_poll_is_open_without_a_claim() {
+    let mut holder = TestDaemon::with_running_tasks(1, 1);
+    cancel(&mut holder);
+    let stop = find_orders(&holder, |order| matches!(order, Order::Stop { .. })).remove(0);
+    holder.app.world_mut().holding.apply_event(HoldingEvent::SteppedDown);
+    holder.answer(stop, OrderOutcome::Done { lists: None }, Some(2_010));
+    assert!(find_orders(&holder, is_poll).is_empty());
+    assert_eq!(holder.app.world().hosts.get(holder.host(0)).unwrap().open_extra_polls, 0);
+}
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -100,8 +100,10 @@
     pub draining_since_ms: Option<u64>,
     /// Whether the host has reported all its runs to this holder.
     pub adoption: Adoption,
-    /// State of its polls.
+    /// State of its regular polls.
     pub poll: Poll,
+    /// Number of open polls outside the regular schedule.
+    pub open_extra_polls: u32,
     /// When the host last answered an order, in monotonic milliseconds.
     ///
     /// Before the first answer, when the row was created.
@@ -153,6 +155,7 @@
             draining_since_ms: None,
             adoption: Adoption::Unknown,
             poll: Poll::default(),
+            open_extra_polls: 0,
             last_answer_at_ms: now_ms,
             unresponsive_since_ms: None,
             clock_offset_ms: 0,
