Keep a moved host after a refusal at its earlier address

Callers would see: tasks that run are started a second time elsewhere.

Cause: a host restarts at another address while an order to the earlier one is on the way. The host that has the earlier address now refuses the order, and the refusal removed the restarted host with the runs that it had meanwhile started. The clock in such a reply, which is another host's, was also taken for the host's own. Class: an answer about one thing taken for one about another.

Fix: a refusal by another host removes the row only if the order went to the address that the row has now. Otherwise only the order is void. Neither clock nor reachability is taken from such a reply.

Evidence: refusal_at_an_earlier_address_keeps_the_host fails before.

--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -41,6 +41,10 @@
         if let Order::Start { .. } = completion.order.order {
             world.runs.start_window.count_answered();
         }
+        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
+            apply_refusal_of_other_host(world, completion, now_ms);
+            continue;
+        }
         detect_host_restart(world, &completion, now_ms);
         update_reachability(world, &completion, now_ms);
         // A host also refuses an order that carries the fence of an earlier claim of this daemon.
@@ -50,14 +54,23 @@
             step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
             return;
         }
-        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
-            remove_replaced_host(world, completion.order.host, "another host answers at its address", now_ms);
-            continue;
-        }
         apply_answer(world, completion, now_ms);
     }
 }
 
+/// Removes a host whose address now belongs to the one that refused the order.
+///
+/// If the host has moved to another address since the order was issued, only the order is void.
+fn apply_refusal_of_other_host(world: &mut World, completion: OrderCompletion, now_ms: u64) {
+    let key = completion.order.host;
+    let has_moved = world.hosts.get(key).is_some_and(|host| host.entry.address != completion.order.address);
+    if has_moved {
+        apply_answer(world, completion, now_ms);
+    } else {
+        remove_replaced_host(world, key, "another host answers at its address", now_ms);
+    }
+}
+
 fn apply_answer(world: &mut World, completion: OrderCompletion, now_ms: u64) {
     match completion.order.order {
         Order::Start { run, .. } => apply_start_answer(world, run, &completion, now_ms),
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -111,3 +111,24 @@
     }
     assert_eq!(holder.app.world().runs.start_window.open(), 0);
 }
+
+/// A host restarts at another address while an order to its earlier one is on the way.
+///
+/// The refusal of the host that now has the earlier address removed the restarted one, with the runs that it had started.
+#[test]
+fn refusal_at_an_earlier_address_keeps_the_host() {
+    let mut holder = TestDaemon::with_running_tasks(1, 1);
+    let late_poll = HostOrder {
+        host: holder.host(0),
+        host_name: host_entry(0).name,
+        address: host_entry(0).address,
+        fence: FENCE,
+        order: Order::Poll { lease_until_ms: None, last_end_recorded: 0, wait_ms: 0 },
+        timeout_ms: 100,
+    };
+    let started_unix_ms = host_entry(0).started_unix_ms + 50_000;
+    let moved = HostEntry { address: "10.9.0.200:80".into(), started_unix_ms, ..host_entry(0) };
+    holder.receive_changes(KeySpace::Hosts, vec![entry_change(moved)], 90);
+    holder.answer(late_poll, OrderOutcome::Refused(RefusalReason::OtherLife), Some(2_000));
+    assert!(holder.app.world().hosts.find(&host_entry(0).name).is_some());
+}
