--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -41,6 +41,10 @@
         if let Order::Start { .. } = completion.order.order {
             world.runs.start_window.count_answered();
         }
+        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
+            apply_refusal_of_other_host(world, completion, now_ms);
+            continue;
+        }
         detect_host_restart(world, &completion, now_ms);
         update_reachability(world, &completion, now_ms);
         // A host also refuses an order that carries the fence of an earlier claim of this daemon.
@@ -50,14 +54,23 @@
             step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
             return;
         }
-        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
-            remove_replaced_host(world, completion.order.host, "another host answers at its address", now_ms);
-            continue;
-        }
         apply_answer(world, completion, now_ms);
     }
 }
 
+/// Removes a host whose address now belongs to the one that refused the order.
+///
+/// If the host has moved to another address since the order was issued, only the order is void.
+fn apply_refusal_of_other_host(world: &mut World, completion: OrderCompletion, now_ms: u64) {
+    let key = completion.order.host;
+    let has_moved = world.hosts.get(key).is_some_and(|host| host.entry.address != completion.order.address);
+    if has_moved {
+        apply_answer(world, completion, now_ms);
+    } else {
+        remove_replaced_host(world, key, "another host answers at its address", now_ms);
+    }
+}
+
 fn apply_answer(world: &mut World, completion: OrderCompletion, now_ms: u64) {
     match completion.order.order {
         Order::Start { run, .. } => apply_start_answer(world, run, &completion, now_ms),
@@ -66,8 +79,9 @@
             apply_pace_answer(world, run, percent, &completion.outcome, now_ms);
         }
         Order::Stop { run: None, .. } => {}
-        Order::Poll { .. } => {
+        Order::Poll { lease_until_ms, wait_ms, .. } => {
             let host = completion.order.host;
+            let may_be_extra = lease_until_ms.is_none() && wait_ms == 0;
             let unsent_locally = completion.outcome.is_local_failure();
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
                 && accept_lists_in_order(world, host, completion.host_clock_ms)
@@ -77,7 +91,10 @@
                 }
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
-            if let Some(host) = world.hosts.get_mut(host) {
+            let Some(host) = world.hosts.get_mut(host) else { return };
+            if may_be_extra && host.open_extra_polls > 0 {
+                host.open_extra_polls -= 1;
+            } else {
                 schedule_poll(host, completion.host_clock_ms.is_some(), now_ms);
                 if unsent_locally {
                     host.poll.next_ms = now_ms + UNSENT_RETRY_MS;
@@ -245,11 +262,15 @@
     }
 }
 
-/// Polls a host outside the regular schedule.
+/// Polls a host outside the regular schedule. Does nothing if this daemon has no claim.
 ///
 /// The open poll may wait much longer.
 fn poll_immediately(world: &mut World, key: HostKey, now_ms: u64) {
-    let Some(host) = world.hosts.get(key) else { return };
+    if world.holding.fence().is_none() {
+        return;
+    }
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    host.open_extra_polls += 1;
     let last_end_recorded = host.last_end_recorded;
     let order = Order::Poll { lease_until_ms: None, last_end_recorded, wait_ms: 0 };
     world.counters.polls += 1;
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod pace;
 mod placement;
+mod polls;
 mod recording;
 mod runs;
 mod slow_holder;
