Pass over steps whose approved hosts are full without reading host rows

Change: the free resources that a round collects are kept by host as well, and a step with tickets is searched for only if one of its approved hosts may have room.

Evidence: full_hosts_are_not_compared_for_each_step_with_tickets fails before (600 searches for 600 steps).

--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -74,9 +74,12 @@
     if !bounds.may_fit(pool, &need) {
         return;
     }
+    let needs_advice = world.jobs.get(step.job).is_some_and(|job| job.record.policy.advice.is_some());
+    if needs_advice && !bounds.may_fit_on(step.advice.approved_hosts.keys().copied(), &need) {
+        return;
+    }
     let Some(policy) = StepPolicy::for_step(world, step) else { return };
     let is_limited_per_host = spec.max_per_host.is_some() || policy.rules.max_tasks_per_host.is_some();
-    let needs_advice = world.jobs.get(step.job).is_some_and(|job| job.record.policy.advice.is_some());
     let outcome = place_step(world, key, &policy, now_ms);
     world.counters.host_searches += u64::from(outcome != SearchOutcome::NotSearched);
     // A limit per host and missing tickets leave room that other steps may use.
--- a/crates/cassiahoist_placement/src/room_bounds.rs
+++ b/crates/cassiahoist_placement/src/room_bounds.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::spec::StepSpec;
 use rustc_hash::FxHashMap;
+use slotmap::SecondaryMap;
 
 /// What a step needs at least for a first start.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,15 +58,19 @@
 #[derive(Debug)]
 pub(crate) struct RoomBounds {
     by_pool: FxHashMap<PoolName, PoolBounds>,
+    /// Free resources of the hosts that accept new runs, as the round began.
+    free_by_host: SecondaryMap<HostKey, Resources>,
 }
 
 impl RoomBounds {
     /// Collects the largest free resources of the hosts that accept new runs.
     pub fn collect(world: &World, now_ms: u64) -> Self {
         let mut by_pool: FxHashMap<PoolName, PoolBounds> = FxHashMap::default();
-        let hosts = world.hosts.iter_engaged().map(|(_, host)| host);
-        for host in hosts.filter(|host| host.in_roster && host.accepts_new_runs(now_ms)) {
+        let mut free_by_host = SecondaryMap::new();
+        let is_startable = |host: &Host| host.in_roster && host.accepts_new_runs(now_ms);
+        for (key, host) in world.hosts.iter_engaged().filter(|(_, host)| is_startable(host)) {
             let free = host.free_resources();
+            free_by_host.insert(key, free);
             if let Some(bounds) = by_pool.get_mut(&host.entry.pool) {
                 bounds.largest_free = bounds.largest_free.component_max(&free);
             } else {
@@ -72,7 +78,7 @@
                 by_pool.insert(host.entry.pool.clone(), bounds);
             }
         }
-        Self { by_pool }
+        Self { by_pool, free_by_host }
     }
 
     /// Returns whether a need may fit on hosts of a pool; false if it certainly does not.
@@ -83,6 +89,13 @@
         })
     }
 
+    /// Returns whether a need may fit on one of the hosts; false if it certainly does not.
+    ///
+    /// It reads no rows of hosts: many steps wait with tickets for hosts that are full.
+    pub fn may_fit_on(&self, mut hosts: impl Iterator<Item = HostKey>, need: &LeastNeed) -> bool {
+        hosts.any(|key| self.free_by_host.get(key).is_some_and(|free| need.reserved.fits_within(free)))
+    }
+
     /// Records that a need fits on no host of a pool.
     pub fn record_unmet(&mut self, pool: &PoolName, need: LeastNeed) {
         if let Some(bounds) = self.by_pool.get_mut(pool) {
--- a/crates/cassiahoist_standins/tests/systems/backlog.rs
+++ b/crates/cassiahoist_standins/tests/systems/backlog.rs
@@ -4,15 +4,16 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_jobs::insert_job;
-use cassiahoist_world::advice::AdviceAnswer;
+use cassiahoist_world::advice::{AdviceAnswer, Ticket};
 use cassiahoist_world::config::AdviceCost;
 use cassiahoist_world::event::Event;
+use cassiahoist_world::jobs::StepKey;
 use cassiahoist_world::orders::{HostLists, Order, RunEnding};
 use cassiahoist_world::record::MemberRecord;
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::world::World;
 
-use crate::support::{TestDaemon, end, job_record, running, running_lists, step, task_name};
+use crate::support::{TestDaemon, end, host_entry, job_record, running, running_lists, step, task_name};
 
 /// Number of jobs that wait, one step each.
 const BACKLOG: u64 = 600;
@@ -232,3 +233,27 @@
     );
     assert!(is_stopped(&holder));
 }
+
+/// Guards against rounds of placement that compare the approved hosts of each waiting step, although all of them are full
+/// and only other hosts have room.
+#[test]
+fn full_hosts_are_not_compared_for_each_step_with_tickets() {
+    let mut holder = holder_with_backlog();
+    let (full_host, free_host) = (holder.host(0), holder.host(1));
+    leave_free(&mut holder, 1, Resources::new(8_000, 8_000, 0));
+    let ticket = |holder: &TestDaemon, number: u64| Ticket {
+        text: "t".into(),
+        expires_at_ms: holder.now_ms + 2_000,
+        host_started_unix_ms: host_entry(number).started_unix_ms,
+    };
+    let steps: Vec<StepKey> = holder.app.world().jobs.steps.keys().collect();
+    for step in &steps {
+        let ticket = ticket(&holder, 0);
+        holder.app.world_mut().jobs.approve_host(*step, full_host, ticket);
+    }
+    assert_eq!(searches_in_a_round(&mut holder), 0);
+    let ticket = ticket(&holder, 1);
+    holder.app.world_mut().jobs.approve_host(steps[BACKLOG as usize / 2], free_host, ticket);
+    assert_eq!(searches_in_a_round(&mut holder), 1);
+    assert_eq!(holder.starts().len(), 3, "the step with a ticket for the host with room starts its tasks");
+}
