Wait on for answers whose timer fired late for lack of processor time

Cause: a process that gets no processor time for a while finds its timers expired and the answers unread in the sockets. A response that takes more than one read, such as the lists of a host with many runs or ends, then counted as lost, although it had arrived in time.

Change: a wait for a response or a connection goes on for as long as its timer fired late, up to one second. On an idle machine that is a millisecond.

Ruled out: small responses. The runtime reads sockets before it fires timers, so that a response of one read was found in time before as well (tried).

Evidence: response_that_arrived_in_time_counts_although_the_process_reads_it_ late fails before (NoResponse).

--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 /// Time for a connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest time by which a timer that fired late extends a wait.
+const MAX_LATE_EXTENSION: Duration = Duration::from_millis(1_000);
+
 /// Default limit of open connections to one address, idle ones included.
 const DEFAULT_MAX_CONNECTIONS: usize = 32;
 
@@ -319,7 +323,7 @@
             self.lock_pools().push_idle(address, connection);
             return SendOutcome::Completed(Exchange::NotSent(UnsentCause::Expired));
         }
-        let Ok(outcome) = timeout_at(deadline, exchange_on(&mut connection, request)).await else {
+        let Some(outcome) = finish_by(deadline, exchange_on(&mut connection, request)).await else {
             // Other idle connections to this address may be dead as well.
             self.lock_pools().close_idle(address);
             return SendOutcome::Completed(Exchange::NoResponse);
@@ -343,8 +347,8 @@
         };
         let (connect_started, is_cut_short) = (Instant::now(), deadline < Instant::now() + CONNECT_TIMEOUT);
         let connect_deadline = deadline.min(connect_started + CONNECT_TIMEOUT);
-        let connected = timeout_at(connect_deadline, connect(address, open_permit)).await;
-        connected.unwrap_or_else(|_elapsed| {
+        let connected = finish_by(connect_deadline, connect(address, open_permit)).await;
+        connected.unwrap_or_else(|| {
             // The wait for a free connection left too little of the timeout.
             let waited_most = connect_started - started > deadline - connect_started;
             let cause = if is_cut_short && waited_most {
@@ -366,6 +370,20 @@
     }
 }
 
+/// Waits for a future until a deadline; `None` if it is not finished by then.
+///
+/// If the timer fires late, this process lacked processor time, and what arrived before the deadline may not have been
+/// read yet. The wait then goes on for as long as the timer was late, up to [`MAX_LATE_EXTENSION`].
+async fn finish_by<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
+    if let Ok(output) = timeout_at(deadline, &mut future).await {
+        return Some(output);
+    }
+    let now = Instant::now();
+    let late_by = now.saturating_duration_since(deadline).min(MAX_LATE_EXTENSION);
+    timeout_at(now + late_by, future).await.ok()
+}
+
 async fn exchange_on(connection: &mut Connection, request: FullRequest) -> SendOutcome {
     let response = match connection.try_send_request(request).await {
         Ok(response) => response,
--- a/crates/cassiahoist_traffic/tests/http_client.rs
+++ b/crates/cassiahoist_traffic/tests/http_client.rs
@@ -321,3 +321,45 @@
     listener.set_nonblocking(true).unwrap();
     assert!(listener.accept().is_err(), "no second connection was opened");
 }
+
+/// Size of a response that takes several reads, as the lists of a host with many runs.
+const LARGE_BODY_BYTES: usize = 60_000;
+
+/// Answers one request with a large body after [`RESPONSE_TIME`], on a thread of its own.
+///
+/// `received` is notified of the request.
+fn serve_large_response(received: std::sync::mpsc::Sender<()>) -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 1_024];
+        let _read = stream.read(&mut buffer).unwrap();
+        received.send(()).unwrap();
+        std::thread::sleep(RESPONSE_TIME);
+        let body = "x".repeat(LARGE_BODY_BYTES);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n");
+        stream.write_all((head + &body).as_bytes()).unwrap();
+        // Keeps the connection open until the client closes it.
+        let _closed = stream.read(&mut buffer);
+    }));
+    address
+}
+
+/// The process gets no processor time from just after the request until after its timeout, while the whole response
+/// waits in the socket. It arrived in time, so the host is not silent.
+#[tokio::test]
+async fn response_that_arrived_in_time_counts_although_the_process_reads_it_late() {
+    let timeout = RESPONSE_TIME * 20;
+    let (received, is_received) = std::sync::mpsc::channel();
+    let address = serve_large_response(received);
+    let client = HttpClient::new();
+    let exchange = tokio::spawn(async move { client.exchange(&address, request(), timeout).await });
+    while is_received.try_recv().is_err() {
+        tokio::task::yield_now().await;
+    }
+    std::thread::sleep(timeout * 2);
+    let exchange = exchange.await.unwrap();
+    let Exchange::Response(response) = exchange else { panic!("{exchange:?}") };
+    assert_eq!(response.body().len(), LARGE_BODY_BYTES);
+}
