--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 /// Time for a connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest time by which a timer that fired late extends a wait.
+const MAX_LATE_EXTENSION: Duration = Duration::from_millis(1_000);
+
 /// Default limit of open connections to one address, idle ones included.
 const DEFAULT_MAX_CONNECTIONS: usize = 32;
 
@@ -328,7 +332,7 @@
             self.lock_pools().push_idle(address, connection);
             return SendOutcome::Completed(Exchange::NotSent(UnsentCause::Expired));
         }
-        let Ok(outcome) = timeout_at(deadline, exchange_on(&mut connection, request)).await else {
+        let Some(outcome) = finish_by(deadline, exchange_on(&mut connection, request)).await else {
             // Other idle connections to this address may be dead as well.
             self.lock_pools().close_idle(address);
             return SendOutcome::Completed(Exchange::NoResponse);
@@ -360,6 +364,20 @@
     }
 }
 
+/// Waits for a future until a deadline; `None` if it is not finished by then.
+///
+/// If the timer fires late, this process lacked processor time, and what arrived before the deadline may not have been
+/// read yet. The wait then goes on for as long as the timer was late, up to [`MAX_LATE_EXTENSION`].
+async fn finish_by<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
+    if let Ok(output) = timeout_at(deadline, &mut future).await {
+        return Some(output);
+    }
+    let now = Instant::now();
+    let late_by = now.saturating_duration_since(deadline).min(MAX_LATE_EXTENSION);
+    timeout_at(now + late_by, future).await.ok()
+}
+
 async fn exchange_on(connection: &mut Connection, request: FullRequest) -> SendOutcome {
     let response = match connection.try_send_request(request).await {
         Ok(response) => response,
@@ -385,7 +403,7 @@
     deadline: Instant,
 ) -> Result<Connection, UnsentCause> {
     let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let connected = timeout_at(connect_deadline, connect(address, open_permit)).await;
+    let connected = finish_by(connect_deadline, connect(address, open_permit)).await;
     connected.unwrap_or(Err(UnsentCause::ConnectTimeout))
 }
 
