--- a/crates/cassiahoist_placement/src/room_bounds.rs
+++ b/crates/cassiahoist_placement/src/room_bounds.rs
@@ -9,11 +9,6 @@
 use rustc_hash::FxHashMap;
 use slotmap::SecondaryMap;
 
-use crate::requirements::count_within;
-
-/// Maximum number of unmet needs that a round keeps for a pool; each step is compared with all of them.
-const MAX_UNMET_NEEDS: usize = 64;
-
 /// What a step needs at least for a first start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct LeastNeed {
@@ -38,15 +33,6 @@
         }
     }
 
-    /// Returns whether all tasks fit on hosts with these free resources, whatever their labels.
-    fn fits_on(&self, free_by_host: &[Resources]) -> bool {
-        let mut missing_count = self.task_count;
-        free_by_host.iter().any(|free| {
-            missing_count = missing_count.saturating_sub(count_within(free, &self.reserved));
-            missing_count == 0
-        })
-    }
-
     /// Returns whether `other` needs at least as much, so that it fits nowhere if this one does not.
     fn is_within(&self, other: &Self) -> bool {
         self.reserved.fits_within(&other.reserved)
@@ -61,21 +47,10 @@
 struct PoolBounds {
     /// Largest free amount of each resource on any host.
     largest_free: Resources,
-    /// Free resources of each host, as the round began.
-    free: Vec<Resources>,
     /// Needs that fitted on no host in this round.
     unmet: Vec<LeastNeed>,
 }
 
-impl PoolBounds {
-    fn record_unmet(&mut self, need: LeastNeed) {
-        self.unmet.retain(|unmet| !need.is_within(unmet));
-        if self.unmet.len() < MAX_UNMET_NEEDS {
-            self.unmet.push(need);
-        }
-    }
-}
-
 /// Bounds on the free room of each pool during one round of placement.
 ///
 /// Free resources only shrink within a round, so what did not fit does not fit later in it. The hosts are compared once
@@ -98,9 +73,8 @@
             free_by_host.insert(key, free);
             if let Some(bounds) = by_pool.get_mut(&host.entry.pool) {
                 bounds.largest_free = bounds.largest_free.component_max(&free);
-                bounds.free.push(free);
             } else {
-                let bounds = PoolBounds { largest_free: free, free: vec![free], unmet: Vec::new() };
+                let bounds = PoolBounds { largest_free: free, unmet: Vec::new() };
                 by_pool.insert(host.entry.pool.clone(), bounds);
             }
         }
@@ -108,20 +82,11 @@
     }
 
     /// Returns whether a need may fit on hosts of a pool; false if it certainly does not.
-    ///
-    /// It reads no rows of hosts, and goes over the free resources only for a need of a new kind.
-    pub fn may_fit(&mut self, pool: &PoolName, need: &LeastNeed) -> bool {
-        let Some(bounds) = self.by_pool.get_mut(pool) else { return false };
-        if !need.reserved.fits_within(&bounds.largest_free)
-            || bounds.unmet.iter().any(|unmet| unmet.is_within(need))
-        {
-            return false;
-        }
-        let may_fit = need.fits_on(&bounds.free);
-        if !may_fit {
-            bounds.record_unmet(need.clone());
-        }
-        may_fit
+    pub fn may_fit(&self, pool: &PoolName, need: &LeastNeed) -> bool {
+        self.by_pool.get(pool).is_some_and(|bounds| {
+            need.reserved.fits_within(&bounds.largest_free)
+                && !bounds.unmet.iter().any(|unmet| unmet.is_within(need))
+        })
     }
 
     /// Returns whether a need may fit on one of the hosts; false if it certainly does not.
@@ -134,7 +99,8 @@
     /// Records that a need fits on no host of a pool.
     pub fn record_unmet(&mut self, pool: &PoolName, need: LeastNeed) {
         if let Some(bounds) = self.by_pool.get_mut(pool) {
-            bounds.record_unmet(need);
+            bounds.unmet.retain(|unmet| !need.is_within(unmet));
+            bounds.unmet.push(need);
         }
     }
 }
