Let the simulation serve hundreds of hosts

Hosts and jobs are found by index, a watch starts at its first new change, and a poll is tried again only once its host would answer it.

--- a/crates/cassiahoist_standins/src/host.rs
+++ b/crates/cassiahoist_standins/src/host.rs
@@ -274,6 +274,12 @@
         }
     }
 
+    /// Returns whether a waiting poll under a fencing token would be answered now.
+    #[must_use]
+    pub fn would_answer_poll(&self, fence: u64) -> bool {
+        !self.ends.is_empty() || !self.accepts_fence(fence)
+    }
+
     fn extend_lease(&mut self, until_ms: u64, clock_ms: u64) {
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(clock_ms + MAX_LEASE_MS));
     }
--- a/crates/cassiahoist_standins/src/platform.rs
+++ b/crates/cassiahoist_standins/src/platform.rs
@@ -4,7 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::orders::HostOrder;
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde_json::json;
 
 use crate::host::{HostHealth, StandInHost};
@@ -32,6 +32,8 @@
     pub store: StandInStore,
     /// Hosts by number; faults refer to them by this number.
     pub registered_hosts: Vec<RegisteredHost>,
+    /// Numbers of the hosts by address, as `ip:port`.
+    hosts_by_address: FxHashMap<String, usize>,
     /// Actual behaviour of all jobs, against which the trace is checked.
     pub ground_truth: GroundTruth,
     /// Everything that callers and hosts observed.
@@ -68,6 +70,7 @@
         let mut platform = Self {
             store: StandInStore::new(),
             registered_hosts,
+            hosts_by_address: addresses.iter().cloned().zip(0..).collect(),
             ground_truth,
             trace: Trace::default(),
             config_versions: Vec::new(),
@@ -136,8 +139,7 @@
                 .get(&name.step.job)
                 .and_then(|job| job.steps.get(usize::from(name.step.index)))
                 .map_or(0, |step| step.tasks as usize);
-            members.iter().filter(|(member_step, run)| member_step == step && *run == number).count()
-                == member_count
+            members.get(&(step.to_owned(), number)).copied().unwrap_or_default() == member_count
         };
         for registered in &mut self.registered_hosts {
             registered.host.advance(now_ms, &is_gang_complete, &mut self.trace);
@@ -145,12 +147,15 @@
         self.break_gangs(first_observation, now_ms);
     }
 
-    fn gang_members(&self) -> Vec<(String, u64)> {
-        self.registered_hosts
-            .iter()
-            .flat_map(|registered| registered.host.gang_members())
-            .map(|(step, number)| (step.to_owned(), number))
-            .collect()
+    /// Counts the running gang members by step name and run number.
+    fn gang_members(&self) -> FxHashMap<(String, u64), usize> {
+        let mut counts = FxHashMap::default();
+        for registered in &self.registered_hosts {
+            for (step, number) in registered.host.gang_members() {
+                *counts.entry((step.to_owned(), number)).or_default() += 1;
+            }
+        }
+        counts
     }
 
     /// Ends a gang's run everywhere once a member has ended without being `done`.
@@ -197,6 +202,6 @@
     /// Returns the number of the host at an address, as `ip:port`.
     #[must_use]
     pub fn find_host(&self, address: &str) -> Option<usize> {
-        self.registered_hosts.iter().position(|registered| registered.address == address)
+        self.hosts_by_address.get(address).copied()
     }
 }
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -168,8 +168,9 @@
     /// Creates a simulation with all daemons started.
     #[must_use]
     pub fn new(seed: u64, scenario: Scenario) -> Self {
-        let addresses: Vec<String> =
-            (0..scenario.hosts).map(|number| format!("10.9.0.{number}:8080")).collect();
+        let addresses: Vec<String> = (0..scenario.hosts)
+            .map(|number| format!("10.9.{}.{}:8080", number / 256, number % 256))
+            .collect();
         let daemons = (0..scenario.daemons).filter_map(new_daemon).collect();
         let mut sim = Self {
             now_ms: 1_000,
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -69,6 +69,8 @@
 pub struct Callers {
     pending: FxHashMap<CallNumber, PendingCall>,
     tracked: Vec<TrackedJob>,
+    /// Positions of the tracked jobs by identity.
+    positions: FxHashMap<JobId, usize>,
     last_call_number: CallNumber,
     next_job_ms: u64,
     probes: FxHashMap<CallNumber, QueueProbe>,
@@ -139,6 +141,7 @@
             self.now_ms + self.rng.random_range(300..if job.runs_until_cancelled() { 15_000 } else { 3_000 })
         });
         self.platform.ground_truth.jobs.insert(job.id, job.clone());
+        self.callers.positions.insert(job.id, self.callers.tracked.len());
         self.callers.tracked.push(TrackedJob {
             job,
             accepted: false,
@@ -260,7 +263,8 @@
     }
 
     fn find_tracked_mut(&mut self, job: JobId) -> Option<&mut TrackedJob> {
-        self.callers.tracked.iter_mut().find(|tracked| tracked.job.id == job)
+        let position = *self.callers.positions.get(&job)?;
+        self.callers.tracked.get_mut(position)
     }
 
     fn record_submission(&mut self, job: JobId, status: u16) {
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -5,7 +5,7 @@
 use cassiahoist_traffic::protocol::{AdviceProtocol, FullRequest, HostProtocol, HostReply, StoreProtocol};
 use cassiahoist_world::advice::{AdviceAnswer, AdviceCall};
 use cassiahoist_world::event::Event;
-use cassiahoist_world::orders::{HostOrder, OrderCompletion, OrderOutcome};
+use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::store::{StoreCall, StoreCompletion, StoreFailure, StoreOp, StoreReply};
 use cassiahoist_world::unsent::UnsentCause;
@@ -249,12 +249,29 @@
             if expired && !call.outcome_sent {
                 self.report_unanswered(number);
             }
-            if arrived {
+            if arrived && !self.is_waiting_poll(number) {
                 self.try_answer(number);
             }
         }
     }
 
+    /// Returns whether a call is a poll whose host has nothing to list yet.
+    ///
+    /// Trying it again would change nothing.
+    fn is_waiting_poll(&self, number: u64) -> bool {
+        let Some(OpenCall { target: Target::Host(order), arrived_ms: Some(arrived_ms), .. }) =
+            self.calls.get(&number)
+        else {
+            return false;
+        };
+        let Order::Poll { wait_ms, .. } = order.order else { return false };
+        let Some(host_index) = self.platform.find_host(&order.address) else { return false };
+        let host = &self.platform.registered_hosts[host_index].host;
+        self.now_ms != *arrived_ms
+            && self.now_ms < arrived_ms + wait_ms
+            && !host.would_answer_poll(order.fence.0)
+    }
+
     /// Fails the pending calls to a host whose process has ended.
     pub(super) fn fail_host_calls(&mut self, address: &str) {
         let mut broken_calls: Vec<u64> = self
--- a/crates/cassiahoist_standins/src/store.rs
+++ b/crates/cassiahoist_standins/src/store.rs
@@ -42,6 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StandInStore {
     items: BTreeMap<String, Item>,
+    /// Latest changes, ordered by revision.
     history: VecDeque<Change>,
     /// Revision before the oldest change in the history.
     ///
@@ -221,10 +222,11 @@
         if after < self.compacted_revision {
             return CallOutcome::Reply(410, json!({}));
         }
+        let first_new = self.history.partition_point(|change| change.revision <= after);
         let events: Vec<Value> = self
             .history
-            .iter()
-            .filter(|change| change.revision > after && change.key.starts_with(prefix))
+            .range(first_new..)
+            .filter(|change| change.key.starts_with(prefix))
             .map(|change| match &change.item {
                 Some(item) => Self::item_json(&change.key, item),
                 None => json!({ "key": change.key, "revision": change.revision, "deleted": true }),
