Count the rows of hosts that systems go over

A measure of a tick's work that needs no clock: the simulation charges processor time by it. Counting is one addition for each iteration over the engaged hosts.

--- a/crates/cassiahoist_standins/tests/systems/engagement.rs
+++ b/crates/cassiahoist_standins/tests/systems/engagement.rs
@@ -123,3 +123,13 @@
     );
     assert!(world.hosts.find(&host_name(399)).is_none());
 }
+
+/// The simulation charges processor time for the rows that systems go over.
+#[test]
+fn visits_of_engaged_rows_are_counted() {
+    let holder = TestDaemon::with_hosts(4);
+    let hosts = &holder.app.world().hosts;
+    let before = hosts.rows_visited();
+    assert_eq!(hosts.iter_engaged().count() + hosts.engaged_keys().len(), 8);
+    assert_eq!(hosts.rows_visited() - before, 8);
+}
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -1,5 +1,6 @@
 //! Backend servers that run tasks.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::ops::Deref;
 use std::sync::Arc;
@@ -268,6 +269,8 @@
     pub next_engage_at_ms: u64,
     /// Position, among the ready steps, of the one whose demand for hosts is looked at next; counts on without end.
     pub next_demand_step: usize,
+    /// Rows that systems went over; a shared view counts too.
+    rows_visited: Cell<u64>,
 }
 
 /// Gives read access to the rows; changes go through the methods of the table.
@@ -355,8 +358,21 @@
         self.engaged.len() == self.rows.len()
     }
 
+    /// Returns how many engaged rows systems went over since the start.
+    ///
+    /// It measures the work of ticks without a clock. A system that stops early counts all rows.
+    #[must_use]
+    pub fn rows_visited(&self) -> u64 {
+        self.rows_visited.get()
+    }
+
+    fn count_visit(&self) {
+        self.rows_visited.set(self.rows_visited.get() + self.engaged.len() as u64);
+    }
+
     /// Iterates over the engaged hosts, ordered by key.
     pub fn iter_engaged(&self) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.count_visit();
         self.engaged.iter().filter_map(|key| Some((*key, self.rows.get(*key)?)))
     }
 
@@ -365,6 +381,7 @@
     /// The copy lets a caller change rows while it goes through the keys.
     #[must_use]
     pub fn engaged_keys(&self) -> Vec<HostKey> {
+        self.count_visit();
         self.engaged.iter().copied().collect()
     }
 }
