--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -155,9 +155,7 @@
     /// Creates a simulation. Its daemons have started, or do so within the spread of the scenario.
     #[must_use]
     pub fn new(seed: u64, scenario: Scenario) -> Self {
-        let addresses: Vec<String> = (0..scenario.hosts)
-            .map(|number| format!("10.9.{}.{}:8080", number / 256, number % 256))
-            .collect();
+        let addresses: Vec<String> = (0..scenario.hosts).map(host_address).collect();
         let machine = |number| scenario.machines.get(number).copied().unwrap_or_default();
         let daemons =
             (0..scenario.daemons).filter_map(|number| Daemon::new(number, machine(number))).collect();
@@ -323,3 +321,8 @@
         }
     }
 }
+
+/// Returns the address at which a host accepts orders.
+fn host_address(host: usize) -> String {
+    format!("10.9.{}.{}:8080", host / 256, host % 256)
+}
--- a/crates/cassiahoist_standins/src/sim/daemon.rs
+++ b/crates/cassiahoist_standins/src/sim/daemon.rs
@@ -47,6 +47,8 @@
     pub tick_count: u64,
     /// Real time that its ticks have taken, in all incarnations.
     pub tick_time: Duration,
+    /// Real time that the longest of them took; the reader resets it.
+    pub longest_tick: Duration,
     /// Numbers of the calls that wait for a connection, in the order of their issue.
     pub(super) waiting_calls: VecDeque<u64>,
     processor: Processor,
@@ -75,6 +77,7 @@
             connections: None,
             tick_count: 0,
             tick_time: Duration::ZERO,
+            longest_tick: Duration::ZERO,
             waiting_calls: VecDeque::new(),
             processor: Processor::default(),
             last_tick_ms: 0,
@@ -105,7 +108,9 @@
         let rows_before = app.world().hosts.rows_visited();
         let tick_started = Instant::now();
         app.tick(now_ms, TIME_ZERO_UNIX_MS + now_ms);
-        self.tick_time += tick_started.elapsed();
+        let took = tick_started.elapsed();
+        self.tick_time += took;
+        self.longest_tick = self.longest_tick.max(took);
         self.tick_count += 1;
         self.outbox = app.take_effects();
         work.effects = self.outbox.len() as u64;
--- a/crates/cassiahoist_standins/tests/machines.rs
+++ b/crates/cassiahoist_standins/tests/machines.rs
@@ -107,7 +107,10 @@
 /// The holder has fewer connections than hosts that work, so that some orders are not sent in time.
 #[test]
 fn orders_without_a_connection_are_not_sent() {
-    let mut sim = Simulation::new(42, burst_on(weak_machine().with_max_descriptors(MIN_MAX_DESCRIPTORS)));
+    let max_descriptors = 400;
+    assert!(max_host_connections(max_descriptors) < 60);
+    let machine = Machine::default().with_max_descriptors(max_descriptors);
+    let mut sim = Simulation::new(42, burst_on(machine));
     let violations = sim.run();
     assert!(violations.is_empty(), "{}", violations[0]);
     assert!(logged_values(&sim, EventId::StartRefused, "cause").contains(&"NoFreeConnection".into()));
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -185,16 +185,17 @@
 /// Creates a settled holder on a link of 2 Mbit/s with many tasks of long arguments, and a peer with this link.
 fn busy_holder(peer_link_mbps: u32) -> TestDaemon {
     let mut holder = TestDaemon::with_hosts(60);
-    let now_ms = holder.now_ms;
     let world = holder.app.world_mut();
     world.local.limits.link_mbps = 2;
-    let peer = MemberRecord {
-        incarnation: "edge-1#1".parse().unwrap(),
-        peer_address: "10.1.0.1:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits { link_mbps: peer_link_mbps, ..MachineLimits::default() },
-    };
-    world.members.insert(peer, now_ms);
+    world.members.insert(
+        MemberRecord {
+            incarnation: "edge-1#1".parse().unwrap(),
+            peer_address: "10.1.0.1:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits { link_mbps: peer_link_mbps, ..MachineLimits::default() },
+        },
+        0,
+    );
     holder.tick(3_000);
     let mut job = job_record(1, vec![crate::support::step(400)]);
     Arc::make_mut(&mut job).spec.argument = "x".repeat(3_500);
