--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use rustc_hash::FxHashMap;
 
-use super::Simulation;
+use super::{ROUND_MS, Simulation, TRAFFIC_START_MS};
 use crate::trace::Observation;
 use crate::workload::{Job, QUEUE_HOST, QUEUE_PATHS, Workload, draw_job, version_queue_path};
 
@@ -29,6 +29,29 @@
     Cancel,
 }
 
+/// Many jobs that callers submit in a short time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Burst {
+    /// Time of the first submission, in milliseconds.
+    pub at_ms: u64,
+    /// Time from the first submission to the last, in milliseconds.
+    pub for_ms: u64,
+    /// Number of jobs.
+    pub jobs: u32,
+}
+
+impl Burst {
+    /// Returns how many of its jobs have been submitted at a time in milliseconds.
+    #[must_use]
+    pub fn submitted_jobs(&self, now_ms: u64) -> u32 {
+        match now_ms.checked_sub(self.at_ms) {
+            None => 0,
+            Some(since_ms) if since_ms >= self.for_ms => self.jobs,
+            Some(since_ms) => (u64::from(self.jobs) * since_ms / self.for_ms) as u32,
+        }
+    }
+}
+
 /// An open query for a queue that exists in only one configuration version.
 #[derive(Clone, Copy, Debug)]
 struct QueueProbe {
@@ -69,6 +92,8 @@
 pub struct Callers {
     pending: FxHashMap<CallNumber, PendingCall>,
     tracked: Vec<TrackedJob>,
+    /// Positions of the tracked jobs by identity.
+    positions: FxHashMap<JobId, usize>,
     last_call_number: CallNumber,
     next_job_ms: u64,
     probes: FxHashMap<CallNumber, QueueProbe>,
@@ -100,7 +125,8 @@
 impl Simulation {
     pub(super) fn send_caller_requests(&mut self) {
         self.expire_calls();
-        self.draw_due_jobs();
+        self.draw_due_job();
+        self.draw_burst_jobs();
         if self.scenario.workload == Workload::Varied {
             self.send_due_probe();
         }
@@ -126,19 +152,27 @@
         }
     }
 
-    fn draw_due_jobs(&mut self) {
-        let end_ms = 4_000 + self.scenario.traffic_ms;
-        if self.now_ms < 4_000 || self.now_ms > end_ms || self.now_ms < self.callers.next_job_ms {
+    fn draw_due_job(&mut self) {
+        let end_ms = TRAFFIC_START_MS + self.scenario.traffic_ms;
+        if self.now_ms < TRAFFIC_START_MS || self.now_ms > end_ms || self.now_ms < self.callers.next_job_ms {
             return;
         }
-        for _ in 0..std::mem::take(&mut self.scenario.backlog_jobs) {
-            self.draw_job();
-        }
         self.callers.next_job_ms =
             self.now_ms + self.rng.random_range(1..=self.scenario.mean_job_interval_ms * 2);
         self.draw_job();
     }
 
+    /// Draws the jobs of bursts that are submitted in this round.
+    fn draw_burst_jobs(&mut self) {
+        let until_ms = |at_ms| {
+            let bursts = self.scenario.bursts.iter();
+            bursts.map(|burst| burst.submitted_jobs(at_ms)).sum::<u32>()
+        };
+        for _ in until_ms(self.now_ms - ROUND_MS)..until_ms(self.now_ms) {
+            self.draw_job();
+        }
+    }
+
     fn draw_job(&mut self) {
         let job = draw_job(&mut self.rng, self.scenario.workload);
         let cancelled = job.runs_until_cancelled() || self.rng.random_bool(0.08);
@@ -146,6 +180,7 @@
             self.now_ms + self.rng.random_range(300..if job.runs_until_cancelled() { 15_000 } else { 3_000 })
         });
         self.platform.ground_truth.jobs.insert(job.id, job.clone());
+        self.callers.positions.insert(job.id, self.callers.tracked.len());
         self.callers.tracked.push(TrackedJob {
             job,
             accepted: false,
@@ -190,7 +225,7 @@
     ///
     /// The version is the newest, any written one or one that is never written.
     fn send_due_probe(&mut self) {
-        if self.now_ms < 4_000 || self.now_ms < self.callers.next_probe_ms {
+        if self.now_ms < TRAFFIC_START_MS || self.now_ms < self.callers.next_probe_ms {
             return;
         }
         self.callers.next_probe_ms = self.now_ms + self.rng.random_range(1..=MEAN_PROBE_INTERVAL_MS * 2);
@@ -267,7 +302,8 @@
     }
 
     fn find_tracked_mut(&mut self, job: JobId) -> Option<&mut TrackedJob> {
-        self.callers.tracked.iter_mut().find(|tracked| tracked.job.id == job)
+        let position = *self.callers.positions.get(&job)?;
+        self.callers.tracked.get_mut(position)
     }
 
     fn record_submission(&mut self, job: JobId, status: u16) {
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -5,7 +5,7 @@
 //! `--power-loss-at 3` all daemons lose power in that second, so that a new holder adopts what waits and runs.
 
 use bpaf::{OptionParser, Parser, construct, long};
-use cassiahoist_standins::sim::{Daemon, Fault, Scenario, Simulation};
+use cassiahoist_standins::sim::{Burst, Daemon, Fault, Scenario, Simulation};
 use cassiahoist_standins::workload::Workload;
 use cassiahoist_world::world::World;
 
@@ -21,7 +21,7 @@
     daemons: usize,
     jobs_per_s: u64,
     seconds: u64,
-    backlog: usize,
+    backlog: u32,
     power_loss_at: Option<u64>,
 }
 
@@ -90,9 +90,9 @@
         traffic_ms: args.seconds * 1_000,
         settle_ms: 0,
         mean_job_interval_ms: 1_000 / args.jobs_per_s.max(1),
-        backlog_jobs: args.backlog,
         workload: Workload::Plain,
         faults: power_loss.into_iter().collect(),
+        bursts: vec![Burst { at_ms: TRAFFIC_START_MS, for_ms: 0, jobs: args.backlog }],
         ..Scenario::default()
     };
     let mut sim = Simulation::new(1, scenario);
