--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -160,8 +160,11 @@
     }
 
     /// Sends an order that has its connection.
-    pub(super) fn dispatch_order(&mut self, open_call: OpenCall) {
+    ///
+    /// Its host has the whole timeout for the answer, however long the order waited here.
+    pub(super) fn dispatch_order(&mut self, mut open_call: OpenCall) {
         let Target::Host(order) = &open_call.target else { return };
+        open_call.deadline_ms = self.now_ms + order.timeout_ms;
         let host_index = self.platform.find_host(&order.address);
         let unreachable = host_index
             .is_none_or(|number| self.now_ms < self.platform.registered_hosts[number].unreachable_until_ms);
