Transfer the slice from a weak machine to a much stronger one

Cause: a claim is never looked at again.

Change: a holder that has held for 15 s releases the slice, as a slow holder does, to a daemon with at least twice its processor share and no slower link that has been registered for 5 s. It keeps it while the store fails, and for 60 s from a daemon that had itself released it. Daemons of equal limits never qualify. slow_since_ms is releasing_since_ms now, since two systems set it. New log event HolderWeak (210).

--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -71,6 +71,7 @@
     207 HolderSlow Warning "This daemon is too slow to hold the slice and releases its claim.";
     208 PeerMessageSkipped Warning "A message of another daemon is unreadable and is skipped.";
     209 HolderLoad Info "Load of the daemon that holds or adopts the slice, once a second.";
+    210 HolderWeak Info "A much stronger daemon is registered, and this one releases its claim.";
     300 StoreUnreachable Warning "The store does not answer.";
     301 StoreReachable Info "The store answers again.";
     302 StoreItemSkipped Warning "An item of the store is unreadable and is skipped.";
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -38,8 +38,8 @@
 /// The first daemon waits for the last of those that start together, but not for one that restarts again and again.
 const MAX_SETTLING_MS: u64 = 2 * SETTLING_MS;
 
-/// Extra delay of claims by a daemon that was a slow holder, in milliseconds.
-const SLOW_HOLDER_DELAY_MS: u64 = 2_000;
+/// Extra delay of claims by a daemon that transferred the slice to others, in milliseconds.
+const YIELD_DELAY_MS: u64 = 2_000;
 
 /// Delay of claims while the last holder is alive, in milliseconds.
 ///
@@ -115,9 +115,9 @@
     let settled_at_ms = settled_at_ms(world, left_out, vacant_since_ms)?;
     let claim_rank = world.members.claim_rank(&own.member, world.local.limits, left_out);
     let rank_delay_ms = claim_rank as u64 * RANK_DELAY_MS;
-    let slow_delay_ms = if yields { SLOW_HOLDER_DELAY_MS } else { 0 };
+    let yield_delay_ms = if yields { YIELD_DELAY_MS } else { 0 };
     let lead_ms = if is_last_holder_alive(world, vacant_since_ms) { LAST_HOLDER_LEAD_MS } else { 0 };
-    Some((vacant_since_ms + lead_ms).max(settled_at_ms) + rank_delay_ms + slow_delay_ms)
+    Some((vacant_since_ms + lead_ms).max(settled_at_ms) + rank_delay_ms + yield_delay_ms)
 }
 
 /// Returns when this daemon may rely on the registrations that it knows, in monotonic milliseconds.
@@ -225,10 +225,13 @@
     let log_record = LogRecord::new(EventId::ClaimWon).with("fence", fence).with("term", term);
     world.log(log_record.with("unbroken", unbroken));
     world.holding.term = term;
-    world.holding.was_released = false;
+    let was_released = std::mem::take(&mut world.holding.was_released);
     // Every claim writes its term record in the same transaction.
     world.holding.term_revision = fence;
-    world.holding.last_holder = Some(own);
+    let last_holder = world.holding.last_holder.replace(own.clone());
+    if last_holder.as_ref() != Some(&own) {
+        world.holding.released_by = last_holder.filter(|_| was_released);
+    }
     if unbroken {
         for (_, host) in world.hosts.iter_mut() {
             host.poll.next_ms = now_ms;
--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -13,6 +13,7 @@
 mod step_down;
 mod stop;
 mod suspension;
+mod weak_holder;
 
 pub use claim::SLICE;
 pub use members::apply_claim_conflict;
@@ -29,6 +30,7 @@
         app.add_system(TickSet::Receive, follow::route_store_answers)
             .add_system(TickSet::Membership, suspension::check_claim_after_suspension)
             .add_system(TickSet::Membership, slow_holder::detect_slow_holder)
+            .add_system(TickSet::Membership, weak_holder::transfer_to_stronger)
             .add_system(TickSet::Membership, stop::begin_stop)
             .add_system(TickSet::Membership, lease::apply_lease_answers)
             .add_system(TickSet::Membership, lease::maintain_lease)
--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -61,11 +61,11 @@
     if world.holding.answer_times.slow_windows >= MAX_SLOW_WINDOWS
         && !alone
         && !was_taken_over_recently
-        && world.holding.slow_since_ms.is_none()
+        && world.holding.releasing_since_ms.is_none()
     {
         let min_latency_ms = world.holding.answer_times.min_latency_ms;
         world.log(LogRecord::new(EventId::HolderSlow).with("quickest_answer_ms", min_latency_ms));
-        world.holding.slow_since_ms = Some(now_ms);
+        world.holding.releasing_since_ms = Some(now_ms);
         world.holding.yield_until_ms = now_ms + CLAIM_DELAY_PERIOD_MS;
     }
 }
--- a/crates/cassiahoist_membership/src/step_down.rs
+++ b/crates/cassiahoist_membership/src/step_down.rs
@@ -14,7 +14,7 @@
         /// Fencing token of the new holder, or a lower bound of it.
         by: Fence,
     },
-    /// This daemon released the claim, since it is stopping or too slow.
+    /// This daemon released the claim, since it is stopping, too slow or much weaker than another daemon.
     Released,
 }
 
@@ -26,7 +26,7 @@
         world.holding.greatest_fence = world.holding.greatest_fence.max(by);
     }
     let fence = world.holding.fence();
-    world.holding.slow_since_ms = None;
+    world.holding.releasing_since_ms = None;
     world.holding.apply_event(HoldingEvent::SteppedDown);
     if fence.is_some() {
         let event =
--- a/crates/cassiahoist_membership/src/stop.rs
+++ b/crates/cassiahoist_membership/src/stop.rs
@@ -72,11 +72,11 @@
     world.call_store(StorePurpose::ReleaseClaim, StoreOp::Commit(transaction), now_ms, STORE_TIMEOUT_MS);
 }
 
-/// Releases the claim of a stopping or slow holder.
+/// Releases the claim of a holder that is stopping, or that transfers the slice to another daemon.
 ///
 /// The release waits a bounded time for progress to be recorded.
 pub fn release_claim(world: &mut World, now_ms: u64) {
-    let since_ms = match (world.local.stop_state, world.holding.slow_since_ms) {
+    let since_ms = match (world.local.stop_state, world.holding.releasing_since_ms) {
         (StopState::Stopping { since_ms }, _) | (StopState::Serving, Some(since_ms)) => since_ms,
         (StopState::Serving, None) => return,
     };
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -354,3 +354,32 @@
         assert_eq!(sim.holder(), Some(11), "seed {seed}: {down_ms} ms after a loss of power");
     }
 }
+
+/// The only strong machine is down for 5 s, and a weak one takes over.
+///
+/// It transfers the slice back once, and neither loses a job nor runs a task twice.
+#[test]
+fn slice_returns_once_to_a_strong_machine() {
+    for seed in 1..=6 {
+        let mut limits = unlike_limits();
+        limits[10] = limits[0];
+        let scenario = Scenario {
+            daemons: 12,
+            machine_limits: limits,
+            start_spread_ms: 300,
+            traffic_ms: 26_000,
+            faults: vec![(6_000, Fault::KillHolder(5_000))],
+            ..Scenario::default()
+        };
+        let mut sim = Simulation::new(seed, scenario);
+        sim.run_until(20_000);
+        assert_ne!(sim.holder(), Some(11), "seed {seed}: a weak machine took over");
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+        assert_eq!(sim.callers.open_jobs(), 0, "seed {seed}: some accepted jobs haven't ended");
+        assert_eq!(sim.holder(), Some(11), "seed {seed}");
+        let claims =
+            sim.log.iter().filter(|(_, _, log_record)| log_record.event == EventId::ClaimWon).count();
+        assert_eq!(claims, 3, "seed {seed}");
+    }
+}
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -14,3 +14,4 @@
 mod store_watch;
 mod support;
 mod unsent_orders;
+mod weak_holder;
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -116,6 +116,8 @@
     pub claim_seen_at_ms: u64,
     /// How long the claim before this daemon's own lasted, in milliseconds. `None` if it saw none.
     pub predecessor_tenure_ms: Option<u64>,
+    /// Daemon that released the slice before this one claimed it. `None` if the claim before ended with its lease.
+    pub released_by: Option<Incarnation>,
     /// Greatest fencing token seen in the store, from peers or from hosts.
     pub greatest_fence: Fence,
     /// Since when the slice has had no claim, in monotonic milliseconds.
@@ -145,13 +147,13 @@
     pub claim_release: ClaimRelease,
     /// Latency of hosts' answers, by which the daemon recognizes that it is too slow.
     pub answer_times: AnswerTimeWindow,
-    /// When this daemon became too slow to hold the slice, in monotonic milliseconds.
+    /// Since when this daemon, without being stopped, transfers the slice to another one, in monotonic milliseconds.
     ///
     /// It releases its claim from then on; `None` once it has stepped down.
-    pub slow_since_ms: Option<u64>,
+    pub releasing_since_ms: Option<u64>,
     /// Until when this daemon yields to others before it claims, in monotonic milliseconds.
     ///
-    /// Set when it was too slow to hold the slice.
+    /// Set when it transferred the slice to another one.
     pub yield_until_ms: u64,
 }
 
@@ -176,6 +178,7 @@
             was_released: false,
             claim_seen_at_ms: 0,
             predecessor_tenure_ms: None,
+            released_by: None,
             greatest_fence: Fence(0),
             vacant_since_ms: None,
             tables_fence: Fence(0),
@@ -187,7 +190,7 @@
             polling_since_ms: 0,
             claim_release: ClaimRelease::default(),
             answer_times: AnswerTimeWindow::default(),
-            slow_since_ms: None,
+            releasing_since_ms: None,
             yield_until_ms: 0,
         }
     }
--- a/crates/cassiahoist_world/src/members.rs
+++ b/crates/cassiahoist_world/src/members.rs
@@ -89,6 +89,12 @@
         self.iter().filter(|other| ranks_before(other)).count()
     }
 
+    /// Iterates over the daemons that have been registered without a break for at least `min_ms`, in no defined order.
+    pub fn registered_for(&self, min_ms: u64, now_ms: u64) -> impl Iterator<Item = &MemberRecord> {
+        let stable = self.rows.values().filter(move |member| now_ms >= member.registered_at_ms + min_ms);
+        stable.map(|member| &member.record)
+    }
+
     /// Returns whether a daemon with greater limits is registered.
     #[must_use]
     pub fn has_stronger(&self, limits: MachineLimits) -> bool {
