--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -19,3 +19,4 @@
 mod store_watch;
 mod support;
 mod unsent_orders;
+mod weak_holder;
