--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -393,7 +393,7 @@
         limits[10] = limits[0];
         let scenario = Scenario {
             daemons: 12,
-            machine_limits: limits,
+            machines: limits.into_iter().map(Machine::new).collect(),
             start_spread_ms: 300,
             traffic_ms: 26_000,
             faults: vec![(6_000, Fault::KillHolder(5_000))],
