Leave the host of a late poll less time to wait

Callers saw: nothing on its own yet. A holder with too few connections or a busy processor took hosts for unresponsive that answer, and stops renewing the leases of such hosts after 1.2 s.

Cause: the timeout of an order counts from its issue, and a poll asked its host to wait for the whole poll time however late it left. One that had waited 0.3 s for a connection, or left after a long tick, ended without an answer, although the host was well.

Change: a request is built when it has its connection, and a poll's wait is shorter by what has passed since its issue. A request that was not written is built again.

An order that leaves within the last milliseconds of its timeout still counts as unanswered.

--- a/crates/cassiahoist_standins/src/sim/call_connections.rs
+++ b/crates/cassiahoist_standins/src/sim/call_connections.rs
@@ -39,6 +39,7 @@
 
     fn dispatch_call(&mut self, mut open_call: OpenCall) {
         open_call.connection = CallConnection::Held;
+        open_call.left_late = self.now_ms > open_call.issued_at_ms;
         match open_call.target {
             Target::Store(_) => self.dispatch_store_call(open_call),
             Target::Host(_) => self.dispatch_order(open_call),
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -36,11 +36,16 @@
     pub(super) daemon: usize,
     pub(super) daemon_started_unix_ms: u64,
     pub(super) target: Target,
+    /// Method, target and body; empty for an order that has not left yet.
     request: (String, String, Bytes),
-    issued_at_ms: u64,
+    pub(super) issued_at_ms: u64,
     pub(super) deadline_ms: u64,
     arrived_ms: Option<u64>,
     pub(super) connection: CallConnection,
+    /// Whether it left its daemon later than it was issued.
+    pub(super) left_late: bool,
+    /// Time for which its host may wait before it answers, in milliseconds; 0 unless it is a poll.
+    wait_ms: u64,
     /// Whether the reply is lost after the call has taken effect.
     drop_reply: bool,
     /// Whether the daemon has already got an outcome for it.
@@ -87,6 +92,8 @@
             deadline_ms,
             arrived_ms: None,
             connection: CallConnection::None,
+            left_late: false,
+            wait_ms: 0,
             drop_reply: self.rng.random_bool(health.reply_loss_probability),
             outcome_sent: false,
             host_started_unix_ms: 0,
@@ -139,7 +146,6 @@
         order: HostOrder,
         issued_at_ms: u64,
     ) {
-        let Ok(request) = hosts::HostCodec.encode_order(&order) else { return };
         let host_started_unix_ms = self.host_started_unix_ms(&order.address);
         let deadline_ms = issued_at_ms + order.timeout_ms;
         let late = self.rng.random_bool(self.store_health.late_order_probability);
@@ -147,11 +153,13 @@
             daemon,
             daemon_started_unix_ms,
             target: Target::Host(order),
-            request: request_parts(request),
+            request: Default::default(),
             issued_at_ms,
             deadline_ms,
             arrived_ms: None,
             connection: CallConnection::None,
+            left_late: false,
+            wait_ms: 0,
             drop_reply: late,
             outcome_sent: false,
             host_started_unix_ms,
@@ -160,8 +168,14 @@
     }
 
     /// Sends an order that has its connection.
-    pub(super) fn dispatch_order(&mut self, open_call: OpenCall) {
+    pub(super) fn dispatch_order(&mut self, mut open_call: OpenCall) {
         let Target::Host(order) = &open_call.target else { return };
+        let order = order.sent_after(self.now_ms - open_call.issued_at_ms);
+        let Ok(request) = hosts::HostCodec.encode_order(&order) else { return };
+        if let Order::Poll { wait_ms, .. } = order.order {
+            open_call.wait_ms = wait_ms;
+        }
+        open_call.request = request_parts(request);
         let host_index = self.platform.find_host(&order.address);
         let unreachable = host_index
             .is_none_or(|number| self.now_ms < self.platform.registered_hosts[number].unreachable_until_ms);
@@ -299,12 +313,11 @@
     ///
     /// Trying it again would change nothing.
     fn is_waiting_poll(&self, number: u64) -> bool {
-        let Some(OpenCall { target: Target::Host(order), arrived_ms: Some(arrived_ms), .. }) =
+        let Some(OpenCall { target: Target::Host(order), arrived_ms: Some(arrived_ms), wait_ms, .. }) =
             self.calls.get(&number)
         else {
             return false;
         };
-        let Order::Poll { wait_ms, .. } = order.order else { return false };
         let Some(host_index) = self.platform.find_host(&order.address) else { return false };
         let host = &self.platform.registered_hosts[host_index].host;
         self.now_ms != *arrived_ms
@@ -332,7 +345,11 @@
 
     fn report_unanswered(&mut self, number: u64) {
         self.release_connection(number, false);
-        if let Some(OpenCall { target: Target::Host(order), .. }) = self.calls.get(&number) {
+        if let Some(OpenCall { target: Target::Host(order), left_late, drop_reply, arrived_ms, deadline_ms, .. }) =
+            self.calls.get(&number)
+            // Otherwise the host had less time than the daemon meant to give it.
+            && (!left_late || *drop_reply || arrived_ms.is_none() || self.now_ms < *deadline_ms)
+        {
             let host_name = order.host_name.clone();
             self.record_order_outcome(&host_name, &OrderOutcome::Unknown);
         }
--- a/crates/cassiahoist_traffic/src/host_client.rs
+++ b/crates/cassiahoist_traffic/src/host_client.rs
@@ -74,12 +74,16 @@
     /// After a suspension of the process another daemon may hold the slice, and a restarted host would not know its fence.
     async fn exchange(&self, order: &HostOrder, issued_at_ms: u64) -> HostReply {
         let without_reply = |outcome| HostReply { clock_ms: None, outcome };
-        let Ok(request) = self.protocol.encode_order(order) else {
-            return without_reply(OrderOutcome::NotSent(UnsentCause::Unencodable));
-        };
         let timeout = Duration::from_millis(order.timeout_ms);
-        let is_timely = || self.clock.now_ms() <= issued_at_ms + order.timeout_ms;
-        match self.http.exchange_if(&order.address, request, timeout, is_timely).await {
+        let build = || {
+            let delay_ms = self.clock.now_ms().saturating_sub(issued_at_ms);
+            if delay_ms > order.timeout_ms {
+                return Err(UnsentCause::Expired);
+            }
+            let request = self.protocol.encode_order(&order.sent_after(delay_ms));
+            request.map_err(|_unencodable| UnsentCause::Unencodable)
+        };
+        match self.http.exchange_with(&order.address, timeout, build).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(order, response.status().as_u16(), response.body())
             }
--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -52,7 +52,7 @@
     /// The exchange is over.
     Completed(Exchange),
     /// The connection closed before any part of the request was written.
-    Unwritten(FullRequest),
+    Unwritten,
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -262,18 +262,18 @@
     /// `timeout` covers the wait for a connection, its opening and the response. If an idle connection closes before the
     /// request is written to it, the request is sent on a new one.
     pub async fn exchange(&self, address: &str, request: FullRequest, timeout: Duration) -> Exchange {
-        self.exchange_if(address, request, timeout, || true).await
+        self.exchange_with(address, timeout, || Ok(request.clone())).await
     }
 
-    /// Like [`Self::exchange`], but sends the request only if `may_send` returns true just before.
+    /// Like [`Self::exchange`], but builds the request just before it is sent, when it has a connection.
     ///
-    /// Timers do not advance while the process is suspended, so `timeout` alone lets a request leave late.
-    pub async fn exchange_if(
+    /// A request may depend on how long it waited. Timers do not advance while the process is suspended, so `timeout`
+    /// alone lets a request leave late; `build` can fail it.
+    pub async fn exchange_with(
         &self,
         address: &str,
-        request: FullRequest,
         timeout: Duration,
-        may_send: impl Fn() -> bool,
+        build: impl Fn() -> Result<FullRequest, UnsentCause>,
     ) -> Exchange {
         let started = Instant::now();
         let deadline = started + timeout;
@@ -282,20 +282,18 @@
             return Exchange::NotSent(UnsentCause::NoFreeConnection);
         };
         let idle = self.lock_pools().pop_idle(address);
-        let request = match idle {
-            None => request,
-            Some(connection) => match self.send(address, connection, request, deadline, &may_send).await {
-                SendOutcome::Completed(exchange) => return exchange,
-                SendOutcome::Unwritten(request) => request,
-            },
-        };
+        if let Some(connection) = idle
+            && let SendOutcome::Completed(exchange) = self.send(address, connection, deadline, &build).await
+        {
+            return exchange;
+        }
         let connection = match self.open_connection(address, started, deadline).await {
             Ok(connection) => connection,
             Err(cause) => return Exchange::NotSent(cause),
         };
-        match self.send(address, connection, request, deadline, &may_send).await {
+        match self.send(address, connection, deadline, &build).await {
             SendOutcome::Completed(exchange) => exchange,
-            SendOutcome::Unwritten(_) => Exchange::NotSent(UnsentCause::ConnectionClosed),
+            SendOutcome::Unwritten => Exchange::NotSent(UnsentCause::ConnectionClosed),
         }
     }
 
@@ -304,21 +302,23 @@
         &self,
         address: &str,
         mut connection: Connection,
-        request: FullRequest,
         deadline: Instant,
-        may_send: &impl Fn() -> bool,
+        build: &impl Fn() -> Result<FullRequest, UnsentCause>,
     ) -> SendOutcome {
         match timeout_at(deadline, connection.ready()).await {
             Ok(Ok(())) => {}
-            Ok(Err(_closed)) => return SendOutcome::Unwritten(request),
+            Ok(Err(_closed)) => return SendOutcome::Unwritten,
             Err(_elapsed) => {
                 return SendOutcome::Completed(Exchange::NotSent(UnsentCause::ConnectTimeout));
             }
         }
-        if !may_send() {
-            self.lock_pools().push_idle(address, connection);
-            return SendOutcome::Completed(Exchange::NotSent(UnsentCause::Expired));
-        }
+        let request = match build() {
+            Ok(request) => request,
+            Err(cause) => {
+                self.lock_pools().push_idle(address, connection);
+                return SendOutcome::Completed(Exchange::NotSent(cause));
+            }
+        };
         let Ok(outcome) = timeout_at(deadline, exchange_on(&mut connection, request)).await else {
             // Other idle connections to this address may be dead as well.
             self.lock_pools().close_idle(address);
@@ -372,7 +372,7 @@
         // The request is handed back only if no part of it was written.
         Err(mut error) => {
             return match error.take_message() {
-                Some(request) => SendOutcome::Unwritten(request),
+                Some(_unwritten) => SendOutcome::Unwritten,
                 None => SendOutcome::Completed(Exchange::NoResponse),
             };
         }
--- a/crates/cassiahoist_traffic/tests/http_client.rs
+++ b/crates/cassiahoist_traffic/tests/http_client.rs
@@ -93,9 +93,9 @@
         }
     }));
     let client = HttpClient::new();
-    let late = client.exchange_if(&address, request(), Duration::from_secs(10), || false).await;
+    let late = client.exchange_with(&address, Duration::from_secs(10), || Err(UnsentCause::Expired)).await;
     assert!(matches!(late, Exchange::NotSent(UnsentCause::Expired)));
-    let timely = client.exchange_if(&address, request(), Duration::from_secs(10), || true).await;
+    let timely = client.exchange_with(&address, Duration::from_secs(10), || Ok(request())).await;
     assert!(matches!(timely, Exchange::Response(_)));
     assert_eq!(answered.load(Ordering::Relaxed), 1);
 }
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -1,5 +1,6 @@
 //! Orders to hosts and the hosts' answers.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
@@ -93,6 +94,23 @@
     pub timeout_ms: u64,
 }
 
+impl HostOrder {
+    /// Returns the order as it is to be sent some time after its issue, in milliseconds.
+    ///
+    /// Its host waits less before it answers a poll, since the timeout counts from the issue.
+    #[must_use]
+    pub fn sent_after(&self, delay_ms: u64) -> Cow<'_, Self> {
+        match self.order {
+            Order::Poll { lease_until_ms, last_end_recorded, wait_ms } if wait_ms > 0 && delay_ms > 0 => {
+                let wait_ms = wait_ms.saturating_sub(delay_ms);
+                let order = Order::Poll { lease_until_ms, last_end_recorded, wait_ms };
+                Cow::Owned(Self { order, ..self.clone() })
+            }
+            _ => Cow::Borrowed(self),
+        }
+    }
+}
+
 /// A run that a host lists.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunReport {
