--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -36,8 +36,6 @@
     for report in &lists.ended {
         apply_end_report(world, key, report, now_ms);
     }
-    let Some(host) = world.hosts.get_mut(key) else { return };
-    host.lists_received_at_ms = now_ms;
     let mut listed = FxHashSet::default();
     let mut worst_tail_percent = None;
     let mut orphans = OrphanRuns::default();
@@ -132,8 +130,7 @@
     let clock_ms = world.hosts.get(host)?.lists_clock_ms;
     let run = world.runs.rows.get_mut(key)?;
     if run.state == RunState::Starting {
-        run.state = RunState::Running;
-        run.confirmed_at_ms = now_ms;
+        run.confirm_start(now_ms);
         run.progress_clock_ms = clock_ms;
     }
     run.listed_by_host = true;
@@ -181,7 +178,9 @@
         .filter(|run| !listed.contains(run))
         .filter(|run| {
             world.runs.rows.get(*run).is_some_and(|run| match run.state {
-                RunState::Running | RunState::Settled => run.confirmed_at_ms < sent_ms,
+                RunState::Running => run.confirmed_at_ms < sent_ms,
+                // The extra poll goes out when the stop is confirmed.
+                RunState::Settled => run.confirmed_at_ms <= sent_ms,
                 RunState::Starting | RunState::Unsettled | RunState::Stopping => false,
             })
         })
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -13,6 +13,7 @@
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
 use crate::lifecycle::{drop_run, requeue_placed_task, stop_run};
 use crate::outcome::break_gang;
+use crate::pace::apply_pace_answer;
 use crate::poll::schedule_poll;
 
 /// Timeout of a poll outside the regular schedule, in milliseconds.
@@ -37,6 +38,13 @@
         if completion.order.fence < world.holding.tables_fence || !world.holding.loading.jobs_loaded {
             continue;
         }
+        if let Order::Start { .. } = completion.order.order {
+            world.runs.start_window.count_answered();
+        }
+        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
+            apply_refusal_of_other_host(world, completion, now_ms);
+            continue;
+        }
         detect_host_restart(world, &completion, now_ms);
         update_reachability(world, &completion, now_ms);
         // A host also refuses an order that carries the fence of an earlier claim of this daemon.
@@ -46,31 +54,47 @@
             step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
             return;
         }
-        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
-            remove_replaced_host(world, completion.order.host, "another host answers at its address", now_ms);
-            continue;
-        }
         apply_answer(world, completion, now_ms);
     }
 }
 
+/// Removes a host whose address now belongs to the one that refused the order.
+///
+/// If the host has moved to another address since the order was issued, only the order is void.
+fn apply_refusal_of_other_host(world: &mut World, completion: OrderCompletion, now_ms: u64) {
+    let key = completion.order.host;
+    let has_moved = world.hosts.get(key).is_some_and(|host| host.entry.address != completion.order.address);
+    if has_moved {
+        apply_answer(world, completion, now_ms);
+    } else {
+        remove_replaced_host(world, key, "another host answers at its address", now_ms);
+    }
+}
+
 fn apply_answer(world: &mut World, completion: OrderCompletion, now_ms: u64) {
     match completion.order.order {
-        Order::Start { run, .. } => {
-            world.runs.start_window.count_answered();
-            apply_start_answer(world, run, &completion, now_ms);
-        }
+        Order::Start { run, .. } => apply_start_answer(world, run, &completion, now_ms),
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
-        Order::Stop { run: None, .. } | Order::SetPace { .. } => {}
-        Order::Poll { .. } => {
+        Order::SetPace { run, percent, .. } => {
+            apply_pace_answer(world, run, percent, &completion.outcome, now_ms);
+        }
+        Order::Stop { run: None, .. } => {}
+        Order::Poll { lease_until_ms, wait_ms, .. } => {
             let host = completion.order.host;
+            let may_be_extra = lease_until_ms.is_none() && wait_ms == 0;
             let unsent_locally = completion.outcome.is_local_failure();
             if let OrderOutcome::Done { lists: Some(lists) } = completion.outcome
                 && accept_lists_in_order(world, host, completion.host_clock_ms)
             {
+                if let Some(host) = world.hosts.get_mut(host) {
+                    host.lists_received_at_ms = completion.completed_at_ms;
+                }
                 apply_host_lists(world, host, &lists, completion.issued_at_ms, now_ms);
             }
-            if let Some(host) = world.hosts.get_mut(host) {
+            let Some(host) = world.hosts.get_mut(host) else { return };
+            if may_be_extra && host.open_extra_polls > 0 {
+                host.open_extra_polls -= 1;
+            } else {
                 schedule_poll(host, completion.host_clock_ms.is_some(), now_ms);
                 if unsent_locally {
                     host.poll.next_ms = now_ms + UNSENT_RETRY_MS;
@@ -153,7 +177,7 @@
     match outcome {
         OrderOutcome::Done { .. } => {
             if run.state == RunState::Starting {
-                run.state = RunState::Running;
+                run.confirm_start(now_ms);
             }
             run.confirmed_at_ms = now_ms;
             run.progress_clock_ms = run.progress_clock_ms.max(host_clock_ms.unwrap_or_default());
@@ -238,11 +262,15 @@
     }
 }
 
-/// Polls a host outside the regular schedule.
+/// Polls a host outside the regular schedule. Does nothing if this daemon has no claim.
 ///
 /// The open poll may wait much longer.
 fn poll_immediately(world: &mut World, key: HostKey, now_ms: u64) {
-    let Some(host) = world.hosts.get(key) else { return };
+    if world.holding.fence().is_none() {
+        return;
+    }
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    host.open_extra_polls += 1;
     let last_end_recorded = host.last_end_recorded;
     let order = Order::Poll { lease_until_ms: None, last_end_recorded, wait_ms: 0 };
     world.counters.polls += 1;
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -36,7 +36,6 @@
     pub(super) daemon: usize,
     pub(super) daemon_started_unix_ms: u64,
     pub(super) target: Target,
-    /// Method, target and body; empty for an order that has not left yet.
     request: (String, String, Bytes),
     pub(super) issued_at_ms: u64,
     pub(super) deadline_ms: u64,
@@ -44,8 +43,6 @@
     pub(super) connection: CallConnection,
     /// Whether it left its daemon later than it was issued.
     pub(super) left_late: bool,
-    /// Time for which its host may wait before it answers, in milliseconds; 0 unless it is a poll.
-    wait_ms: u64,
     /// Whether the reply is lost after the call has taken effect.
     drop_reply: bool,
     /// Whether the daemon has already got an outcome for it.
@@ -93,7 +90,6 @@
             arrived_ms: None,
             connection: CallConnection::None,
             left_late: false,
-            wait_ms: 0,
             drop_reply: self.rng.random_bool(health.reply_loss_probability),
             outcome_sent: false,
             host_started_unix_ms: 0,
@@ -146,6 +142,7 @@
         order: HostOrder,
         issued_at_ms: u64,
     ) {
+        let Ok(request) = hosts::HostCodec.encode_order(&order) else { return };
         let host_started_unix_ms = self.host_started_unix_ms(&order.address);
         let deadline_ms = issued_at_ms + order.timeout_ms;
         let late = self.rng.random_bool(self.store_health.late_order_probability);
@@ -153,13 +150,12 @@
             daemon,
             daemon_started_unix_ms,
             target: Target::Host(order),
-            request: Default::default(),
+            request: request_parts(request),
             issued_at_ms,
             deadline_ms,
             arrived_ms: None,
             connection: CallConnection::None,
             left_late: false,
-            wait_ms: 0,
             drop_reply: late,
             outcome_sent: false,
             host_started_unix_ms,
@@ -170,12 +166,8 @@
     /// Sends an order that has its connection.
     pub(super) fn dispatch_order(&mut self, mut open_call: OpenCall) {
         let Target::Host(order) = &open_call.target else { return };
-        let order = order.sent_after(self.now_ms - open_call.issued_at_ms);
-        let Ok(request) = hosts::HostCodec.encode_order(&order) else { return };
-        if let Order::Poll { wait_ms, .. } = order.order {
-            open_call.wait_ms = wait_ms;
-        }
-        open_call.request = request_parts(request);
+        // The host has its whole time, however long the order waited here.
+        open_call.deadline_ms = self.now_ms + order.timeout_ms;
         let host_index = self.platform.find_host(&order.address);
         let unreachable = host_index
             .is_none_or(|number| self.now_ms < self.platform.registered_hosts[number].unreachable_until_ms);
@@ -313,11 +305,12 @@
     ///
     /// Trying it again would change nothing.
     fn is_waiting_poll(&self, number: u64) -> bool {
-        let Some(OpenCall { target: Target::Host(order), arrived_ms: Some(arrived_ms), wait_ms, .. }) =
+        let Some(OpenCall { target: Target::Host(order), arrived_ms: Some(arrived_ms), .. }) =
             self.calls.get(&number)
         else {
             return false;
         };
+        let Order::Poll { wait_ms, .. } = order.order else { return false };
         let Some(host_index) = self.platform.find_host(&order.address) else { return false };
         let host = &self.platform.registered_hosts[host_index].host;
         self.now_ms != *arrived_ms
--- a/crates/cassiahoist_traffic/src/http_client.rs
+++ b/crates/cassiahoist_traffic/src/http_client.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 /// Time for a connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest time by which a timer that fired late extends a wait.
+const MAX_LATE_EXTENSION: Duration = Duration::from_millis(1_000);
+
 /// Default limit of open connections to one address, idle ones included.
 const DEFAULT_MAX_CONNECTIONS: usize = 32;
 
@@ -52,7 +56,7 @@
     /// The exchange is over.
     Completed(Exchange),
     /// The connection closed before any part of the request was written.
-    Unwritten,
+    Unwritten(FullRequest),
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -224,7 +228,7 @@
 
     /// Sets the limit of open connections to one address.
     ///
-    /// Requests beyond it wait for a connection, within their own timeouts.
+    /// Requests beyond it wait for a connection, each for its own timeout at most.
     #[must_use]
     pub fn with_max_connections(self, max_connections: usize) -> Self {
         Self { max_connections, ..self }
@@ -233,7 +237,7 @@
     /// Sets the limit of open connections to all addresses together.
     ///
     /// At the limit the least recently used idle connection is closed for a new one. If none is idle, requests wait
-    /// within their own timeouts.
+    /// for their own timeouts at most.
     #[must_use]
     pub fn with_max_open_connections(self, max_open_connections: usize) -> Self {
         let max_open_connections = max_open_connections.min(Semaphore::MAX_PERMITS);
@@ -259,41 +263,52 @@
 
     /// Sends a request and waits for the complete response.
     ///
-    /// `timeout` covers the wait for a connection, its opening and the response. If an idle connection closes before the
-    /// request is written to it, the request is sent on a new one.
+    /// The request waits for `timeout` at most until a connection may be used or opened, then for `timeout` at most until
+    /// the response is complete. So the remote side has the same time however long the request waited here.
+    ///
+    /// If an idle connection closes before the request is written to it, the request is sent on a new one.
     pub async fn exchange(&self, address: &str, request: FullRequest, timeout: Duration) -> Exchange {
-        self.exchange_with(address, timeout, || Ok(request.clone())).await
+        self.exchange_if(address, request, timeout, || true).await
     }
 
-    /// Like [`Self::exchange`], but builds the request just before it is sent, when it has a connection.
+    /// Like [`Self::exchange`], but sends the request only if `may_send` returns true just before.
     ///
-    /// A request may depend on how long it waited. Timers do not advance while the process is suspended, so `timeout`
-    /// alone lets a request leave late; `build` can fail it.
-    pub async fn exchange_with(
+    /// Timers do not advance while the process is suspended, so `timeout` alone lets a request leave late.
+    pub async fn exchange_if(
         &self,
         address: &str,
+        request: FullRequest,
         timeout: Duration,
-        build: impl Fn() -> Result<FullRequest, UnsentCause>,
+        may_send: impl Fn() -> bool,
     ) -> Exchange {
-        let started = Instant::now();
-        let deadline = started + timeout;
+        let wait_deadline = Instant::now() + timeout;
         let permits = self.lock_pools().get_or_create_permits(address, self.max_connections);
-        let Ok(Ok(_permit)) = timeout_at(deadline, permits.acquire()).await else {
+        let Ok(Ok(_permit)) = timeout_at(wait_deadline, permits.acquire()).await else {
             return Exchange::NotSent(UnsentCause::NoFreeConnection);
         };
         let idle = self.lock_pools().pop_idle(address);
-        if let Some(connection) = idle
-            && let SendOutcome::Completed(exchange) = self.send(address, connection, deadline, &build).await
-        {
-            return exchange;
-        }
-        let connection = match self.open_connection(address, started, deadline).await {
+        let request = match idle {
+            None => request,
+            Some(connection) => {
+                let deadline = Instant::now() + timeout;
+                match self.send(address, connection, request, deadline, &may_send).await {
+                    SendOutcome::Completed(exchange) => return exchange,
+                    SendOutcome::Unwritten(request) => request,
+                }
+            }
+        };
+        let open_permit = match self.acquire_open_permit(wait_deadline).await {
+            Ok(open_permit) => open_permit,
+            Err(cause) => return Exchange::NotSent(cause),
+        };
+        let deadline = Instant::now() + timeout;
+        let connection = match connect_in_time(address, open_permit, deadline).await {
             Ok(connection) => connection,
             Err(cause) => return Exchange::NotSent(cause),
         };
-        match self.send(address, connection, deadline, &build).await {
+        match self.send(address, connection, request, deadline, &may_send).await {
             SendOutcome::Completed(exchange) => exchange,
-            SendOutcome::Unwritten => Exchange::NotSent(UnsentCause::ConnectionClosed),
+            SendOutcome::Unwritten(_) => Exchange::NotSent(UnsentCause::ConnectionClosed),
         }
     }
 
@@ -302,24 +317,22 @@
         &self,
         address: &str,
         mut connection: Connection,
+        request: FullRequest,
         deadline: Instant,
-        build: &impl Fn() -> Result<FullRequest, UnsentCause>,
+        may_send: &impl Fn() -> bool,
     ) -> SendOutcome {
         match timeout_at(deadline, connection.ready()).await {
             Ok(Ok(())) => {}
-            Ok(Err(_closed)) => return SendOutcome::Unwritten,
+            Ok(Err(_closed)) => return SendOutcome::Unwritten(request),
             Err(_elapsed) => {
                 return SendOutcome::Completed(Exchange::NotSent(UnsentCause::ConnectTimeout));
             }
         }
-        let request = match build() {
-            Ok(request) => request,
-            Err(cause) => {
-                self.lock_pools().push_idle(address, connection);
-                return SendOutcome::Completed(Exchange::NotSent(cause));
-            }
-        };
-        let Ok(outcome) = timeout_at(deadline, exchange_on(&mut connection, request)).await else {
+        if !may_send() {
+            self.lock_pools().push_idle(address, connection);
+            return SendOutcome::Completed(Exchange::NotSent(UnsentCause::Expired));
+        }
+        let Some(outcome) = finish_by(deadline, exchange_on(&mut connection, request)).await else {
             // Other idle connections to this address may be dead as well.
             self.lock_pools().close_idle(address);
             return SendOutcome::Completed(Exchange::NoResponse);
@@ -330,49 +343,48 @@
         outcome
     }
 
-    /// Opens a connection within the limit over all addresses. `started` is when the request began to wait.
-    async fn open_connection(
-        &self,
-        address: &str,
-        started: Instant,
-        deadline: Instant,
-    ) -> Result<Connection, UnsentCause> {
-        let open_permit = match Arc::clone(&self.open_permits).try_acquire_owned() {
-            Ok(open_permit) => open_permit,
-            Err(_none_left) => self.wait_for_open_permit(deadline).await?,
-        };
-        let (connect_started, is_cut_short) = (Instant::now(), deadline < Instant::now() + CONNECT_TIMEOUT);
-        let connect_deadline = deadline.min(connect_started + CONNECT_TIMEOUT);
-        let connected = timeout_at(connect_deadline, connect(address, open_permit)).await;
-        connected.unwrap_or_else(|_elapsed| {
-            // The wait for a free connection left too little of the timeout.
-            let waited_most = connect_started - started > deadline - connect_started;
-            let cause = if is_cut_short && waited_most {
-                UnsentCause::NoFreeConnection
-            } else {
-                UnsentCause::ConnectTimeout
-            };
-            Err(cause)
-        })
+    /// Returns the permit to open a connection within the limit over all addresses, waiting for it if necessary.
+    async fn acquire_open_permit(&self, wait_deadline: Instant) -> Result<OwnedSemaphorePermit, UnsentCause> {
+        match Arc::clone(&self.open_permits).try_acquire_owned() {
+            Ok(open_permit) => Ok(open_permit),
+            Err(_none_left) => self.wait_for_open_permit(wait_deadline).await,
+        }
     }
 
     /// Waits until a connection to any address closes, after closing an idle one.
-    async fn wait_for_open_permit(&self, deadline: Instant) -> Result<OwnedSemaphorePermit, UnsentCause> {
+    async fn wait_for_open_permit(
+        &self,
+        wait_deadline: Instant,
+    ) -> Result<OwnedSemaphorePermit, UnsentCause> {
         let _waiting = WaitingRequest::new(self);
-        match timeout_at(deadline, Arc::clone(&self.open_permits).acquire_owned()).await {
+        match timeout_at(wait_deadline, Arc::clone(&self.open_permits).acquire_owned()).await {
             Ok(Ok(open_permit)) => Ok(open_permit),
             Ok(Err(_)) | Err(_) => Err(UnsentCause::NoFreeConnection),
         }
     }
 }
 
+/// Waits for a future until a deadline; `None` if it is not finished by then.
+///
+/// If the timer fires late, this process lacked processor time, and what arrived before the deadline may not have been
+/// read yet. The wait then goes on for as long as the timer was late, up to [`MAX_LATE_EXTENSION`].
+async fn finish_by<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
+    if let Ok(output) = timeout_at(deadline, &mut future).await {
+        return Some(output);
+    }
+    let now = Instant::now();
+    let late_by = now.saturating_duration_since(deadline).min(MAX_LATE_EXTENSION);
+    timeout_at(now + late_by, future).await.ok()
+}
+
 async fn exchange_on(connection: &mut Connection, request: FullRequest) -> SendOutcome {
     let response = match connection.try_send_request(request).await {
         Ok(response) => response,
         // The request is handed back only if no part of it was written.
         Err(mut error) => {
             return match error.take_message() {
-                Some(_unwritten) => SendOutcome::Unwritten,
+                Some(request) => SendOutcome::Unwritten(request),
                 None => SendOutcome::Completed(Exchange::NoResponse),
             };
         }
@@ -384,6 +396,17 @@
     })
 }
 
+/// Opens a connection until the deadline, and for [`CONNECT_TIMEOUT`] at most.
+async fn connect_in_time(
+    address: &str,
+    open_permit: OwnedSemaphorePermit,
+    deadline: Instant,
+) -> Result<Connection, UnsentCause> {
+    let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let connected = finish_by(connect_deadline, connect(address, open_permit)).await;
+    connected.unwrap_or(Err(UnsentCause::ConnectTimeout))
+}
+
 /// Opens a connection, which keeps the permit until its socket is closed.
 async fn connect(address: &str, open_permit: OwnedSemaphorePermit) -> Result<Connection, UnsentCause> {
     let stream = TcpStream::connect(address).await.map_err(|error| connect_failure(&error))?;
--- a/crates/cassiahoist_traffic/tests/http_client.rs
+++ b/crates/cassiahoist_traffic/tests/http_client.rs
@@ -93,9 +93,9 @@
         }
     }));
     let client = HttpClient::new();
-    let late = client.exchange_with(&address, Duration::from_secs(10), || Err(UnsentCause::Expired)).await;
+    let late = client.exchange_if(&address, request(), Duration::from_secs(10), || false).await;
     assert!(matches!(late, Exchange::NotSent(UnsentCause::Expired)));
-    let timely = client.exchange_with(&address, Duration::from_secs(10), || Ok(request())).await;
+    let timely = client.exchange_if(&address, request(), Duration::from_secs(10), || true).await;
     assert!(matches!(timely, Exchange::Response(_)));
     assert_eq!(answered.load(Ordering::Relaxed), 1);
 }
@@ -321,3 +321,83 @@
     listener.set_nonblocking(true).unwrap();
     assert!(listener.accept().is_err(), "no second connection was opened");
 }
+
+/// Answers each request after `response_time`.
+async fn serve_slowly(response_time: Duration) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |_request| async move {
+                tokio::time::sleep(response_time).await;
+                Ok::<_, Infallible>(text_response(200, "text/plain", String::new()))
+            });
+            let connection =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            drop(tokio::spawn(connection));
+        }
+    }));
+    address
+}
+
+/// A request waits here for a connection, and the host then has as much time for its answer as for any other.
+///
+/// The wait was taken from the host's time, so that a holder with many open requests took hosts for silent ones.
+#[tokio::test]
+async fn wait_for_a_connection_leaves_the_time_for_the_answer() {
+    const ANSWER_TIME: Duration = Duration::from_millis(800);
+    const TIMEOUT: Duration = Duration::from_millis(1_200);
+    let addresses = [serve_slowly(ANSWER_TIME).await, serve_slowly(ANSWER_TIME).await];
+    let one_per_address = HttpClient::new().with_max_connections(1);
+    let one_in_all = HttpClient::new().with_max_open_connections(1);
+    for (client, second_address) in [(one_per_address, &addresses[0]), (one_in_all, &addresses[1])] {
+        let (first, second) = tokio::join!(
+            client.exchange(&addresses[0], request(), TIMEOUT),
+            client.exchange(second_address, request(), TIMEOUT),
+        );
+        assert!(matches!(first, Exchange::Response(_)), "{first:?}");
+        assert!(matches!(second, Exchange::Response(_)), "{second:?}");
+    }
+}
+
+/// Size of a response that takes several reads, as the lists of a host with many runs.
+const LARGE_BODY_BYTES: usize = 60_000;
+
+/// Answers one request with a large body after [`RESPONSE_TIME`], on a thread of its own.
+///
+/// `received` is notified of the request.
+fn serve_large_response(received: std::sync::mpsc::Sender<()>) -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 1_024];
+        let _read = stream.read(&mut buffer).unwrap();
+        received.send(()).unwrap();
+        std::thread::sleep(RESPONSE_TIME);
+        let body = "x".repeat(LARGE_BODY_BYTES);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n");
+        stream.write_all((head + &body).as_bytes()).unwrap();
+        // Keeps the connection open until the client closes it.
+        let _closed = stream.read(&mut buffer);
+    }));
+    address
+}
+
+/// The process gets no processor time from just after the request until after its timeout, while the whole response
+/// waits in the socket. It arrived in time, so the host is not silent.
+#[tokio::test]
+async fn response_that_arrived_in_time_counts_although_the_process_reads_it_late() {
+    let timeout = RESPONSE_TIME * 20;
+    let (received, is_received) = std::sync::mpsc::channel();
+    let address = serve_large_response(received);
+    let client = HttpClient::new();
+    let exchange = tokio::spawn(async move { client.exchange(&address, request(), timeout).await });
+    while is_received.try_recv().is_err() {
+        tokio::task::yield_now().await;
+    }
+    std::thread::sleep(timeout * 2);
+    let exchange = exchange.await.unwrap();
+    let Exchange::Response(response) = exchange else { panic!("{exchange:?}") };
+    assert_eq!(response.body().len(), LARGE_BODY_BYTES);
+}
