Let a restarted last holder claim without a wait

Cause: each daemon that has just started waits 500 ms for the registrations of others, also the one that the record of the term names as the last holder. A restarted holder also left its own claim to its end for any daemon with greater limits, however little.

Change: the next incarnation of the last holder claims a vacant slice as soon as it is registered; it leaves an earlier claim of its own only to a daemon on a machine that is much stronger, by the same measure as a transfer.

Evidence: restarted_last_holder_claims_a_vacant_slice_without_a_wait fails before.

--- a/crates/cassiahoist_core/src/bounds.rs
+++ b/crates/cassiahoist_core/src/bounds.rs
@@ -50,6 +50,18 @@
     pub link_mbps: u32,
 }
 
+/// Multiple of another machine's processor share from which a machine is much stronger.
+const MUCH_STRONGER_FACTOR: u32 = 2;
+
+impl MachineLimits {
+    /// Returns whether a change of the holder from the other machine to this one is worth its interruption.
+    #[must_use]
+    pub fn is_much_stronger_than(self, other: Self) -> bool {
+        self.cpu_milli >= other.cpu_milli.saturating_mul(MUCH_STRONGER_FACTOR)
+            && self.link_mbps >= other.link_mbps
+    }
+}
+
 impl Default for MachineLimits {
     fn default() -> Self {
         Self { cpu_milli: 1_000, link_mbps: 1_000 }
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -81,10 +81,10 @@
     let retry_at_ms =
         if holding.claim_sent_at_ms == 0 { 0 } else { holding.claim_sent_at_ms + RETRY_DELAY_MS };
     let due_at_ms = match (&holding.claim, holding.vacant_since_ms) {
-        // An earlier incarnation of this daemon held the slice and has ended. Its claim ends with its lease if a stronger
-        // daemon can take over.
+        // An earlier incarnation of this daemon held the slice and has ended. Its claim ends with its lease if a much
+        // stronger daemon can take over.
         (Some((claim, _)), _) if claim.holder.member == own.member && claim.holder != *own => {
-            if world.members.has_stronger(world.local.limits) {
+            if world.members.has_much_stronger(world.local.limits) {
                 return ClaimDecision::Skip;
             }
             Some(retry_at_ms)
@@ -112,7 +112,11 @@
         return Some(vacant_since_ms);
     }
     let left_out = holding.last_holder.as_ref().filter(|holder| **holder != *own);
+    // The last holder was the strongest when it claimed. After a loss of power everywhere its next incarnation need not
+    // wait for all the others.
+    let held_last = left_out.is_some_and(|holder| holder.member == own.member);
     let settled_at_ms = settled_at_ms(world, left_out, vacant_since_ms)?;
+    let settled_at_ms = if held_last { vacant_since_ms } else { settled_at_ms };
     let claim_rank = world.members.claim_rank(&own.member, world.local.limits, left_out);
     let rank_delay_ms = claim_rank as u64 * RANK_DELAY_MS;
     let yield_delay_ms = if yields { YIELD_DELAY_MS } else { 0 };
--- a/crates/cassiahoist_membership/src/weak_holder.rs
+++ b/crates/cassiahoist_membership/src/weak_holder.rs
@@ -18,9 +18,6 @@
 /// Time for which the stronger daemon must have been registered, in milliseconds.
 const MIN_REGISTERED_MS: u64 = 5_000;
 
-/// Multiple of this daemon's processor share that makes another daemon much stronger.
-const STRENGTH_FACTOR: u32 = 2;
-
 /// How long this daemon delays its later claims, in milliseconds. The stronger one claims first then.
 const CLAIM_DELAY_PERIOD_MS: u64 = 15_000;
 
@@ -45,10 +42,6 @@
     let own = world.local.limits;
     world.members.registered_for(MIN_REGISTERED_MS, now_ms).find(|other| {
         let has_released = holding.released_by.as_ref() == Some(&other.incarnation);
-        is_much_stronger(other.limits, own) && (!has_released || tenure_ms >= MIN_TENURE_AFTER_RELEASE_MS)
+        other.limits.is_much_stronger_than(own) && (!has_released || tenure_ms >= MIN_TENURE_AFTER_RELEASE_MS)
     })
 }
-
-fn is_much_stronger(other: MachineLimits, own: MachineLimits) -> bool {
-    other.cpu_milli >= own.cpu_milli.saturating_mul(STRENGTH_FACTOR) && other.link_mbps >= own.link_mbps
-}
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -314,7 +314,7 @@
 /// Its tables are lost, so that a stronger daemon takes over at no greater cost.
 #[test]
 fn restarted_holder_leaves_its_claim_to_a_stronger_daemon() {
-    for (other_cpu_milli, claims) in [(500, false), (120, true)] {
+    for (other_cpu_milli, claims) in [(500, false), (120, true), (160, true)] {
         let own = MemberRecord { incarnation: "edge-5#2".parse().unwrap(), ..member("edge-5", 120, 20) };
         let mut daemon = registered_daemon(own, vec![member("edge-1", other_cpu_milli, 20)]);
         let claim = ClaimRecord {
@@ -333,6 +333,31 @@
     }
 }
 
+/// All daemons lost power, and the lease of the last holder ended before they were back.
+///
+/// The last holder was the strongest, so a wait for the registrations of the others would only prolong the outage.
+#[test]
+fn restarted_last_holder_claims_a_vacant_slice_without_a_wait() {
+    for (last_holder, allowed_ms) in [("edge-0#0", 0..=20), ("edge-9#0", 300..=600)] {
+        let mut daemon = TestDaemon::standby();
+        let own = member("edge-0", 500, 200);
+        let world = daemon.app.world_mut();
+        world.local.incarnation = own.incarnation.clone();
+        world.local.limits = own.limits;
+        world.store_connection.lease = Some(7);
+        world.store_connection.next_lease_call_at_ms = u64::MAX;
+        world.holding.last_holder = Some(last_holder.parse().unwrap());
+        daemon.tick(1);
+        let list =
+            daemon.store_calls().find(|call| call.purpose == StorePurpose::FollowRange(KeySpace::Cell));
+        daemon
+            .answer_store(list.cloned().unwrap(), Ok(StoreReply::Items { items: Vec::new(), revision: 80 }));
+        register(&mut daemon, own);
+        let wait_ms = wait_for_claim_ms(&mut daemon);
+        assert!(allowed_ms.contains(&wait_ms), "{last_holder}: {wait_ms} ms");
+    }
+}
+
 /// A daemon of another version wrote the progress of a job.
 ///
 /// Its tasks may be done, so the new holder starts none of them.
--- a/crates/cassiahoist_world/src/members.rs
+++ b/crates/cassiahoist_world/src/members.rs
@@ -95,10 +95,10 @@
         stable.map(|member| &member.record)
     }
 
-    /// Returns whether a daemon with greater limits is registered.
+    /// Returns whether a daemon on a much stronger machine is registered.
     #[must_use]
-    pub fn has_stronger(&self, limits: MachineLimits) -> bool {
-        self.iter().any(|other| other.limits > limits)
+    pub fn has_much_stronger(&self, limits: MachineLimits) -> bool {
+        self.iter().any(|other| other.limits.is_much_stronger_than(limits))
     }
 
     /// Returns when the latest registration of a daemon with greater limits was first seen, in monotonic milliseconds.
