Keep log lines of decisions however many frequent lines there are

What was missing: only lines of level Debug left room in the log's buffer. Refused calls, refused starts and hosts that come and go are above that level and come by the thousand in trouble. While the log thread lacks processor time they fill the buffer, and the lines that tell why are dropped. `LogLinesDropped` did not say which lines were left out, and a line lost behind the process (by a collector) left no trace at all, so that an absent line proved nothing.

Change: each event has a subject (daemon, host, work). Frequent lines use the same room as before; lines about hosts have 64 KiB beyond that, those about daemon, store, claim and configuration another 64 KiB. A line without room is no longer encoded. `LogLinesDropped` names the event of the lines left out, one line for each. Lines are numbered (`seq`) before any is dropped. Both events of a pair (store, ranges, hosts, the holder's heartbeat) have one level, so that `log.level` shows both or none: StoreReachable, RangeFresh and HostResponsive are now of level Warning.

Evidence: on the earlier code decision_lines_survive_thousands_of_frequent_lines loses StoreUnreachable and all after it (0 of 1 written, 0 reported); lines_about_work_leave_room_for_lines_about_hosts and numbers_of_lines_account_for_every_line fail as well; the nine earlier tests of the log pass unchanged before and after.

--- a/crates/cassiahoist_core/src/lib.rs
+++ b/crates/cassiahoist_core/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod prelude {
     pub use crate::bounds::{Bounds, MachineLimits};
     pub use crate::error::{ErrorKind, HoistError};
-    pub use crate::event_id::{EventId, Severity};
+    pub use crate::event_id::{EventId, Severity, Subject};
     pub use crate::name::{
         FailureDomain, Fence, HostName, Incarnation, JobId, MemberName, PoolName, QueueName, SliceId,
         StepName, TaskName,
--- a/crates/cassiahoist_core/tests/core.rs
+++ b/crates/cassiahoist_core/tests/core.rs
@@ -16,6 +16,22 @@
     assert_eq!(rows, EventId::ALL.len(), "docs/EVENTS.md lists events that do not exist");
 }
 
+/// With a minimum level in the settings, the log has both lines of a pair or none.
+#[test]
+fn paired_events_have_the_same_severity() {
+    let pairs = [
+        (EventId::StoreUnreachable, EventId::StoreReachable),
+        (EventId::RangeStale, EventId::RangeFresh),
+        (EventId::RangeCallFailed, EventId::RangeFresh),
+        (EventId::HostUnresponsive, EventId::HostResponsive),
+        (EventId::HostMissing, EventId::HostReturned),
+        (EventId::HolderSilent, EventId::HolderHeard),
+    ];
+    for (lost, regained) in pairs {
+        assert_eq!(lost.severity(), regained.severity(), "{} and {}", lost.name(), regained.name());
+    }
+}
+
 #[test]
 fn event_numbers_increase() {
     let numbers: Vec<u16> = EventId::ALL.iter().map(|event| event.number()).collect();
--- a/crates/cassiahoist_telemetry/src/line_writer.rs
+++ b/crates/cassiahoist_telemetry/src/line_writer.rs
@@ -5,7 +5,7 @@
 use cassiahoist_core::prelude::*;
 use slog::{Drain, OwnedKVList, b};
 
-use crate::line_buffer::{DropCause, LineBuffer};
+use crate::line_buffer::{Batch, DropCause, DroppedLines, LineBuffer};
 
 /// Most bytes of one write. A pipe takes a write of up to `PIPE_BUF` whole or not at all.
 const MAX_WRITE_BYTES: usize = 4_096;
@@ -20,7 +20,7 @@
 
 impl<W: Write> LineOutput<W> {
     /// Writes complete lines, and returns how many of them were not written whole.
-    fn write_lines(&mut self, lines: &[u8]) -> u64 {
+    fn write_lines(&mut self, lines: &[u8]) -> usize {
         if self.inside_line {
             // Ends the broken line, so that the next one can be read.
             if self.write_bytes(b"\n") == 0 {
@@ -50,8 +50,8 @@
     }
 }
 
-fn count_lines(lines: &[u8]) -> u64 {
-    lines.split_inclusive(|byte| *byte == b'\n').count() as u64
+fn count_lines(lines: &[u8]) -> usize {
+    lines.split_inclusive(|byte| *byte == b'\n').count()
 }
 
 /// Splits off as many complete lines as fit in one write, or the first line if it is longer.
@@ -67,18 +67,10 @@
 /// `log_values` are the fields of every line.
 pub(crate) fn write_buffered_lines(buffer: &LineBuffer, sink: impl Write, log_values: &OwnedKVList) {
     let mut output = LineOutput { sink, inside_line: false };
-    let mut batch = Vec::new();
+    let mut batch = Batch::default();
     loop {
         let is_last = buffer.take_batch(&mut batch);
-        let mut remaining = batch.as_slice();
-        while !remaining.is_empty() {
-            let (lines, rest) = split_first_write(remaining);
-            let lost_lines = output.write_lines(lines);
-            if lost_lines > 0 {
-                buffer.count_dropped(DropCause::WriteFailed, lost_lines);
-            }
-            remaining = rest;
-        }
+        write_batch(buffer, &mut output, &batch);
         report_dropped_lines(buffer, &mut output, log_values);
         if is_last {
             return buffer.finish();
@@ -86,17 +78,31 @@
     }
 }
 
-/// Writes a line for each cause for which lines were dropped. A failed report is repeated after the next batch.
+fn write_batch<W: Write>(buffer: &LineBuffer, output: &mut LineOutput<W>, batch: &Batch) {
+    let (mut text, mut events) = (batch.text.as_slice(), batch.events.as_slice());
+    while !text.is_empty() {
+        let (lines, later_lines) = split_first_write(text);
+        let (line_events, later_events) = events.split_at(count_lines(lines));
+        let lost_lines = output.write_lines(lines);
+        if lost_lines > 0 {
+            buffer.count_dropped(DropCause::WriteFailed, &line_events[line_events.len() - lost_lines..]);
+        }
+        (text, events) = (later_lines, later_events);
+    }
+}
+
+/// Writes a line for each cause and event of which lines were dropped.
+///
+/// A failed report is repeated after the next batch.
 fn report_dropped_lines<W: Write>(buffer: &LineBuffer, output: &mut LineOutput<W>, log_values: &OwnedKVList) {
-    for cause in DropCause::ALL {
-        let dropped = buffer.unreported(cause);
-        if dropped > 0 && output.write_lines(&encode_report(cause, dropped, log_values)) == 0 {
-            buffer.mark_reported(cause, dropped);
+    for dropped in buffer.unreported() {
+        if output.write_lines(&encode_report(dropped, log_values)) == 0 {
+            buffer.mark_reported(dropped);
         }
     }
 }
 
-fn encode_report(cause: DropCause, dropped: u64, log_values: &OwnedKVList) -> Vec<u8> {
+fn encode_report(dropped: DroppedLines, log_values: &OwnedKVList) -> Vec<u8> {
     let event = EventId::LogLinesDropped;
     let mut line = Vec::new();
     let json = slog_json::Json::default(&mut line);
@@ -105,7 +111,8 @@
             slog::Level::Warning,
             "",
             &format_args!("{}", event.name()),
-            b!("event" => event.number(), "cause" => cause.name(), "dropped" => dropped)
+            b!("event" => event.number(), "cause" => dropped.cause.name(),
+                "dropped" => dropped.count, "dropped_msg" => dropped.event.name())
         ),
         log_values,
     );
--- a/crates/cassiahoist_telemetry/src/log.rs
+++ b/crates/cassiahoist_telemetry/src/log.rs
@@ -1,15 +1,17 @@
 //! Structured log: one event per line, as JSON on standard output.
 //!
 //! Lines are collected in a bounded buffer, which a separate thread writes out. If the buffer is full, lines are dropped
-//! and counted, so that no other thread waits for the log.
+//! and counted, so that no other thread waits for the log. Frequent lines leave a part of it to rare ones. Lines are
+//! numbered before any is dropped.
 
 use std::io::{self, Write};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use cassiahoist_core::prelude::*;
-use slog::{Drain, KV, Key, Logger, Record, Serializer, o};
+use rustc_hash::FxHashMap;
+use slog::{Drain, KV, Key, Logger, OwnedKVList, Record, Serializer, o};
 
-use crate::line_buffer::{LineAssembler, LineBuffer, Priority};
+use crate::line_buffer::{LineAssembler, LineBuffer};
 use crate::line_writer::write_buffered_lines;
 use crate::standard_output::StandardOutput;
 
@@ -28,10 +30,8 @@
 /// Writes log events; clones share one buffer.
 #[derive(Clone, Debug)]
 pub struct LogWriter {
-    /// Takes the events for developers.
-    debug_logger: Logger,
-    /// Takes all other events.
-    logger: Logger,
+    /// One for each event, so that the buffer knows the event of each line.
+    loggers: Arc<FxHashMap<EventId, Logger>>,
     buffer: LineBuffer,
     min_level: slog::Level,
 }
@@ -57,17 +57,18 @@
         output: impl Write + Send + 'static,
     ) -> io::Result<Self> {
         let buffer = LineBuffer::default();
-        let new_logger = |priority| {
-            let lines = LineAssembler::new(buffer.clone(), priority);
+        let log_values: OwnedKVList = o!("daemon" => daemon.to_string()).into();
+        let new_logger = |event: EventId| {
+            let lines = LineAssembler::new(buffer.clone(), event);
             let drain = Mutex::new(slog_json::Json::default(lines)).fuse();
-            Logger::root(drain, o!("daemon" => daemon.to_string()))
+            (event, Logger::root(drain, o!(log_values.clone())))
         };
-        let (debug_logger, logger) = (new_logger(Priority::Debug), new_logger(Priority::Normal));
-        let (lines, log_values) = (buffer.clone(), logger.list().clone());
+        let loggers = Arc::new(EventId::ALL.iter().copied().map(new_logger).collect());
+        let lines = buffer.clone();
         std::thread::Builder::new()
             .name("log".into())
             .spawn(move || write_buffered_lines(&lines, output, &log_values))?;
-        Ok(Self { debug_logger, logger, buffer, min_level: slog_level(min_severity) })
+        Ok(Self { loggers, buffer, min_level: slog_level(min_severity) })
     }
 
     /// Writes an event with its fields, without blocking on output. The line may be dropped.
@@ -76,16 +77,24 @@
         if !level.is_at_least(self.min_level) {
             return;
         }
+        let seq = self.buffer.next_line_number();
+        if !self.buffer.has_room_or_drop(event) {
+            return;
+        }
+        let Some(logger) = self.loggers.get(&event) else { return };
         let (number, name) = (event.number(), event.name());
-        let logger = &self.logger;
         match level {
             slog::Level::Debug | slog::Level::Trace => {
-                slog::debug!(self.debug_logger, "{}", name; "event" => number, Fields(fields));
+                slog::debug!(logger, "{}", name; "event" => number, "seq" => seq, Fields(fields));
+            }
+            slog::Level::Info => {
+                slog::info!(logger, "{}", name; "event" => number, "seq" => seq, Fields(fields));
+            }
+            slog::Level::Warning => {
+                slog::warn!(logger, "{}", name; "event" => number, "seq" => seq, Fields(fields));
             }
-            slog::Level::Info => slog::info!(logger, "{}", name; "event" => number, Fields(fields)),
-            slog::Level::Warning => slog::warn!(logger, "{}", name; "event" => number, Fields(fields)),
             slog::Level::Error | slog::Level::Critical => {
-                slog::error!(logger, "{}", name; "event" => number, Fields(fields));
+                slog::error!(logger, "{}", name; "event" => number, "seq" => seq, Fields(fields));
             }
         }
     }
--- a/crates/cassiahoist_telemetry/tests/log.rs
+++ b/crates/cassiahoist_telemetry/tests/log.rs
@@ -212,6 +212,99 @@
     assert_eq!(output.reported("buffer_full"), 0);
 }
 
+/// Which part of the lines of an event reached the output, and which was reported as dropped.
+fn written_and_dropped(output: &RecordingOutput, event: EventId) -> (u64, u64) {
+    let lines = output.lines();
+    let reports = lines.iter().filter(|line| line["dropped_msg"] == event.name());
+    let dropped = reports.map(|line| line["dropped"].as_u64().unwrap()).sum();
+    (output.count_events(event), dropped)
+}
+
+/// A busy holder in trouble writes thousands of lines a second about calls, runs and hosts, of all levels, while its log
+/// thread gets no processor time. The lines that tell why must all be there.
+#[test]
+fn decision_lines_survive_thousands_of_frequent_lines() {
+    let frequent = [
+        EventId::TaskStarted,
+        EventId::RunEnded,
+        EventId::CallRefused,
+        EventId::StartRefused,
+        EventId::HostUnresponsive,
+        EventId::HostResponsive,
+    ];
+    let decisions = [
+        EventId::StoreUnreachable,
+        EventId::StoreReachable,
+        EventId::RangeStale,
+        EventId::HolderLoad,
+        EventId::HolderSlow,
+        EventId::ClaimLost,
+    ];
+    let (output, begun) = RecordingOutput::new(Behaviour::Accept);
+    let log = open_log(&output);
+    let gate = output.gate.lock().unwrap();
+    log.write(EventId::DaemonStarted, &[]);
+    begun.recv().unwrap();
+    for _ in 0..1_000 {
+        for event in frequent {
+            write_padded(&log, event, 150);
+        }
+    }
+    for event in decisions {
+        write_padded(&log, event, 1_000);
+    }
+    drop(gate);
+    log.close();
+    for event in decisions {
+        assert_eq!(written_and_dropped(&output, event), (1, 0), "{}", event.name());
+    }
+    for event in frequent {
+        let (written, dropped) = written_and_dropped(&output, event);
+        assert_eq!(written + dropped, 1_000, "{}", event.name());
+        assert!(dropped > 0, "{}: the lines fit in the buffer", event.name());
+    }
+}
+
+/// A store that fails marks every host and refuses every call. Neither may use up the room for lines of the other.
+#[test]
+fn lines_about_work_leave_room_for_lines_about_hosts() {
+    let (output, begun) = RecordingOutput::new(Behaviour::Accept);
+    let log = open_log(&output);
+    let gate = output.gate.lock().unwrap();
+    log.write(EventId::DaemonStarted, &[]);
+    begun.recv().unwrap();
+    for _ in 0..3_000 {
+        write_padded(&log, EventId::CallRefused, 150);
+    }
+    for _ in 0..50 {
+        write_padded(&log, EventId::HostUnresponsive, 150);
+    }
+    drop(gate);
+    log.close();
+    assert_eq!(written_and_dropped(&output, EventId::HostUnresponsive), (50, 0));
+}
+
+/// A line may be lost after it was written, in a collector. The numbers of the lines show that.
+#[test]
+fn numbers_of_lines_account_for_every_line() {
+    let (output, begun) = RecordingOutput::new(Behaviour::Accept);
+    let log = open_log(&output);
+    let gate = output.gate.lock().unwrap();
+    log.write(EventId::DaemonStarted, &[]);
+    begun.recv().unwrap();
+    for _ in 0..2_000 {
+        write_padded(&log, EventId::TaskStarted, 200);
+    }
+    drop(gate);
+    log.write(EventId::DaemonStopped, &[]);
+    log.close();
+    let lines = output.lines();
+    let numbers: Vec<u64> = lines.iter().filter_map(|line| line["seq"].as_u64()).collect();
+    assert!(numbers.is_sorted_by(|earlier, later| earlier < later), "{numbers:?}");
+    assert_eq!((numbers[0], numbers[numbers.len() - 1]), (1, 2_002));
+    assert_eq!(numbers.len() as u64 + log.dropped_lines(), 2_002);
+}
+
 /// The reader of the output goes away for a while.
 #[test]
 fn lines_of_failed_writes_are_counted_and_reported_later() {
