Show what any daemon's process uses, fails at and knows

What was missing: HolderLoad is written by the holder only and shows its tables. No line and few metrics showed, at any daemon, connections by use, bytes on the link by kind, requests that were not sent by cause, how late ticks are, and how old what the daemon knows is. A watch that fails while the store answers other calls left no line before 4.4 s.

Change: the clients and the callers' server count their traffic in one meter. DaemonLoad shows it with the ticks, unsent and failed calls and the age of members, claims, configuration and the holder's heartbeat: at the holder once a second, elsewhere every ten seconds and after each second with a failure of its own. HolderLoad also has the steps visited, the searches for hosts, the lateness of ticks and the hosts in the tables. All of it is on /metrics. The first failed call for a range since its last answer is logged (RangeCallFailed), and RangeFresh ends that too. StoreUnreachable and StoreReachable say how old the last answer was and how many calls failed.

HolderLoad's own tests are unchanged.

--- a/crates/cassiahoist_daemon/src/control.rs
+++ b/crates/cassiahoist_daemon/src/control.rs
@@ -56,9 +56,10 @@
             }
         }
         let took = tick_started.elapsed();
-        record_tick(app.world_mut(), took, dispatcher.log.dropped_lines());
-        table_metrics.publish(app.world());
-        table_metrics.publish_host_connections(&dispatcher.hosts);
+        let world = app.world_mut();
+        record_tick(world, took, dispatcher.log.dropped_lines());
+        world.load.traffic = dispatcher.traffic_totals();
+        table_metrics.publish(world);
         pause_after_tick(took);
         if let NextAction::End = receive_inputs(&mut app, inputs, clock) {
             return;
--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -21,6 +21,7 @@
 use cassiahoist_traffic::peer_links::PeerLinks;
 use cassiahoist_traffic::peer_server::PeerEndpoint;
 use cassiahoist_traffic::store_client::StoreClient;
+use cassiahoist_traffic::traffic_meter::TrafficMeter;
 use cassiahoist_world::peer::PeerSender;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
@@ -139,13 +140,20 @@
     caller_stop: watch::Receiver<bool>,
 ) -> Result<(Dispatcher<SitePlatform>, TableMetrics), HoistError> {
     let control = ControlLink::new(sender);
+    let meter = TrafficMeter::new();
     let peers = PeerLinks::new(PeerSender {
         incarnation: incarnation.clone(),
         address: settings.listen.peers.to_string(),
-    });
+    })
+    .with_meter(meter.clone());
     let metrics = Metrics::new().map_err(HoistError::Unreachable)?;
     let table_metrics = TableMetrics::new(&metrics);
-    let caller_server = CallerServer { protocol: callers::CallerCodec, clock, control: control.clone() };
+    let caller_server = CallerServer {
+        protocol: callers::CallerCodec,
+        clock,
+        control: control.clone(),
+        meter: meter.clone(),
+    };
     let operator_server = OperatorServer { control: control.clone(), metrics, ready_path: READY_PATH };
     drop(runtime.spawn(caller_server.serve(bind(runtime, settings.listen.callers)?, caller_stop)));
     drop(runtime.spawn(operator_server.clone().serve(bind(runtime, settings.listen.readiness)?)));
@@ -159,13 +167,17 @@
             settings.platform.store.to_string(),
             clock,
             control.clone(),
-        ),
+        )
+        .with_meter(meter.clone()),
         hosts: HostClient::new(hosts::HostCodec, clock, control.clone())
+            .with_meter(meter.clone())
             .with_max_open_connections(max_host_connections(settings.daemon.max_descriptors)),
-        advice: AdviceClient::new(advice::AdviceCodec, advice_address, peers.clone(), control.clone()),
+        advice: AdviceClient::new(advice::AdviceCodec, advice_address, peers.clone(), control.clone())
+            .with_meter(meter.clone()),
         peers,
         control,
         log: log.clone(),
+        meter,
         runtime: runtime.handle().clone(),
     };
     Ok((dispatcher, table_metrics))
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -1,12 +1,12 @@
-//! Metrics of the tables and of the connections to hosts, published after each tick.
+//! Metrics of the tables and of the traffic, published after each tick.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cassiahoist_telemetry::Metrics;
-use cassiahoist_traffic::host_client::HostClient;
-use cassiahoist_traffic::protocol::HostProtocol;
 use cassiahoist_world::counters::{BUCKETS_MS, Histogram};
+use cassiahoist_world::traffic::TrafficKind;
+use cassiahoist_world::unsent::UnsentCause;
 use cassiahoist_world::world::World;
 
 /// Reads one value from the tables.
@@ -20,11 +20,9 @@
 pub struct TableMetrics {
     cells: Vec<(Arc<AtomicU64>, ReadValue)>,
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
-    host_connections_open: Arc<AtomicU64>,
-    host_connections_limit: Arc<AtomicU64>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 23] = [
+const COUNTERS: [(&str, &str, ReadValue); 39] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
@@ -54,9 +52,53 @@
     ("cassiahoist_events", "Messages that the control thread received", |w| w.counters.events),
     ("cassiahoist_starts_unanswered", "Start orders without an answer", |w| w.counters.starts_unanswered),
     ("cassiahoist_log_lines_dropped", "Log lines that were dropped", |w| w.counters.log_lines_dropped),
+    ("cassiahoist_store_calls_failed", "Calls to the store that were sent and failed", |w| {
+        w.counters.store_calls_failed
+    }),
+    ("cassiahoist_sent_bytes_starts", "Bytes sent for start orders", |w| sent_bytes(w, TrafficKind::Starts)),
+    ("cassiahoist_sent_bytes_polls", "Bytes sent for polls of hosts", |w| sent_bytes(w, TrafficKind::Polls)),
+    ("cassiahoist_sent_bytes_other_orders", "Bytes sent for other orders to hosts", |w| {
+        sent_bytes(w, TrafficKind::OtherOrders)
+    }),
+    ("cassiahoist_sent_bytes_store", "Bytes sent for calls to the store", |w| {
+        sent_bytes(w, TrafficKind::Store)
+    }),
+    ("cassiahoist_sent_bytes_advice", "Bytes sent for calls for advice", |w| {
+        sent_bytes(w, TrafficKind::Advice)
+    }),
+    ("cassiahoist_sent_bytes_peers", "Bytes sent for messages to peers", |w| {
+        sent_bytes(w, TrafficKind::Peers)
+    }),
+    ("cassiahoist_sent_bytes_callers", "Bytes sent for answers to callers", |w| {
+        sent_bytes(w, TrafficKind::Callers)
+    }),
+    ("cassiahoist_received_bytes", "Bytes of answers to requests", |w| w.load.traffic.received_bytes),
+    ("cassiahoist_unsent_no_free_connection", "Requests not sent: no connection became free", |w| {
+        unsent(w, UnsentCause::NoFreeConnection)
+    }),
+    (
+        "cassiahoist_unsent_local_resources",
+        "Requests not sent: the system had no descriptor, port or memory",
+        |w| unsent(w, UnsentCause::LocalResources),
+    ),
+    ("cassiahoist_unsent_expired", "Requests not sent: their time had passed", |w| {
+        unsent(w, UnsentCause::Expired)
+    }),
+    ("cassiahoist_unsent_unencodable", "Requests not sent: they could not be encoded", |w| {
+        unsent(w, UnsentCause::Unencodable)
+    }),
+    ("cassiahoist_unsent_connect_failed", "Requests not sent: the connection was refused", |w| {
+        unsent(w, UnsentCause::ConnectFailed)
+    }),
+    ("cassiahoist_unsent_connect_timeout", "Requests not sent: the connection did not open in time", |w| {
+        unsent(w, UnsentCause::ConnectTimeout)
+    }),
+    ("cassiahoist_unsent_connection_closed", "Requests not sent: the connection closed before", |w| {
+        unsent(w, UnsentCause::ConnectionClosed)
+    }),
 ];
 
-const GAUGES: [(&str, &str, ReadValue); 14] = [
+const GAUGES: [(&str, &str, ReadValue); 32] = [
     ("cassiahoist_calls_open", "Calls in progress", |w| w.calls.open.len() as u64),
     ("cassiahoist_jobs_open", "Jobs in this daemon's tables", |w| w.jobs.len() as u64),
     ("cassiahoist_runs_open", "Runs that occupy resources", |w| w.runs.rows.len() as u64),
@@ -81,6 +123,46 @@
     ("cassiahoist_hosts_engaged", "Hosts that are polled", |w| w.load.latest.engaged_hosts),
     ("cassiahoist_hosts_unresponsive", "Hosts that do not answer", |w| w.load.latest.unresponsive_hosts),
     ("cassiahoist_tasks_pending", "Pending tasks of ready steps", |w| w.load.latest.pending_tasks),
+    ("cassiahoist_host_connections_open", "Open connections to hosts", |w| w.load.traffic.connections.hosts),
+    ("cassiahoist_host_connections_limit", "Most open connections to hosts", |w| {
+        w.load.traffic.connections.hosts_limit
+    }),
+    ("cassiahoist_caller_connections_open", "Open connections of callers", |w| {
+        w.load.traffic.connections.callers
+    }),
+    ("cassiahoist_peer_connections_open", "Open connections to peers", |w| w.load.traffic.connections.peers),
+    ("cassiahoist_store_connections_open", "Open connections to the store", |w| {
+        w.load.traffic.connections.store
+    }),
+    ("cassiahoist_advice_connections_open", "Open connections to the advice service", |w| {
+        w.load.traffic.connections.advice
+    }),
+    ("cassiahoist_open_bytes", "Bytes of requests without an answer so far", |w| w.load.traffic.open_bytes),
+    ("cassiahoist_longest_gap_ms", "Longest time between ticks in the last second", |w| {
+        w.load.daemon.longest_gap_ms
+    }),
+    ("cassiahoist_longest_late_ms", "Longest time by which a tick was late in the last second", |w| {
+        w.load.daemon.longest_late_ms
+    }),
+    ("cassiahoist_hosts", "Hosts in this daemon's tables", |w| w.hosts.len() as u64),
+    ("cassiahoist_members", "Registered daemons that this one knows", |w| w.load.daemon.members),
+    ("cassiahoist_advice_calls_open", "Calls for advice that steps wait for", |w| {
+        w.load.latest.open_advice_calls
+    }),
+    ("cassiahoist_store_answer_age_ms", "Time since the store last answered", |w| {
+        w.load.daemon.store_answer_age_ms
+    }),
+    ("cassiahoist_heartbeat_age_ms", "Time since the holder's last heartbeat; 0 at the holder", |w| {
+        w.load.daemon.heartbeat_age_ms
+    }),
+    ("cassiahoist_cell_range_age_ms", "Age of the known claims and members", |w| {
+        w.load.daemon.cell_range_age_ms
+    }),
+    ("cassiahoist_operators_range_age_ms", "Age of the known configuration", |w| {
+        w.load.daemon.operators_range_age_ms
+    }),
+    ("cassiahoist_hosts_range_age_ms", "Age of the known host entries", |w| w.load.latest.hosts_range_age_ms),
+    ("cassiahoist_jobs_range_age_ms", "Age of the known jobs", |w| w.load.latest.jobs_range_age_ms),
 ];
 
 const HISTOGRAMS: [(&str, ReadHistogram); 4] = [
@@ -90,26 +172,21 @@
     ("cassiahoist_job_ms", |w| &w.counters.job_ms),
 ];
 
+fn sent_bytes(world: &World, kind: TrafficKind) -> u64 {
+    world.load.traffic.sent_bytes[kind as usize]
+}
+
+fn unsent(world: &World, cause: UnsentCause) -> u64 {
+    world.load.traffic.unsent[cause as usize]
+}
+
 impl TableMetrics {
     /// Registers every metric of the tables.
     pub fn new(metrics: &Metrics) -> Self {
         let counters = COUNTERS.map(|(name, help, read)| (metrics.register_counter(name.into(), help), read));
         let gauges = GAUGES.map(|(name, help, read)| (metrics.register_gauge(name, help), read));
         let histograms = HISTOGRAMS.map(|(name, read)| (register_histogram(metrics, name), read));
-        Self {
-            cells: counters.into_iter().chain(gauges).collect(),
-            histograms: histograms.into(),
-            host_connections_open: metrics
-                .register_gauge("cassiahoist_host_connections_open", "Open connections to hosts"),
-            host_connections_limit: metrics
-                .register_gauge("cassiahoist_host_connections_limit", "Most open connections to hosts"),
-        }
-    }
-
-    /// Copies the number of open connections to hosts, and its limit, to the cells.
-    pub fn publish_host_connections<P: HostProtocol>(&self, hosts: &HostClient<P>) {
-        self.host_connections_open.store(hosts.open_connections() as u64, Ordering::Relaxed);
-        self.host_connections_limit.store(hosts.max_open_connections() as u64, Ordering::Relaxed);
+        Self { cells: counters.into_iter().chain(gauges).collect(), histograms: histograms.into() }
     }
 
     /// Copies the current values of the tables to the cells.
--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -49,6 +49,7 @@
         "jobs": world.jobs.len(),
         "runs": world.runs.rows.len(),
         "load": world.load.latest.fields().into_iter().collect::<BTreeMap<_, _>>(),
+        "process": world.load.daemon.fields().into_iter().collect::<BTreeMap<_, _>>(),
     })
 }
 
--- a/crates/cassiahoist_membership/src/follow.rs
+++ b/crates/cassiahoist_membership/src/follow.rs
@@ -60,7 +60,8 @@
             world.counters.store_calls_unsent += 1;
             continue;
         }
-        let failure = completion.outcome.as_ref().err().map(|kind| (completion.purpose.clone(), *kind));
+        let purpose = completion.purpose.clone();
+        let failure = completion.outcome.as_ref().err().copied();
         let issued_at_ms = completion.issued_at_ms;
         // The store holds a watch until a change, so its duration is not counted as latency.
         let is_watch =
@@ -69,8 +70,8 @@
             world.store_connection.record_latency(now_ms.saturating_sub(issued_at_ms));
         }
         match failure {
-            Some((purpose, kind)) => record_store_failure(world, &purpose, kind, issued_at_ms, now_ms),
-            None => record_store_answer(world, now_ms),
+            Some(kind) => record_store_failure(world, &purpose, kind, issued_at_ms, now_ms),
+            None => record_store_answer(world, &purpose, now_ms),
         }
     }
     for completion in
@@ -89,20 +90,32 @@
     issued_at_ms: u64,
     now_ms: u64,
 ) {
+    world.counters.store_calls_failed += 1;
+    let connection = &mut world.store_connection;
     // If a later call was answered, this failure says nothing about the current state.
-    if issued_at_ms < world.store_connection.last_answer_at_ms || world.store_connection.is_failing() {
+    if issued_at_ms < connection.last_answer_at_ms {
         return;
     }
-    world.store_connection.failing_since_ms = Some(now_ms);
+    connection.failed_calls += 1;
+    if connection.is_failing() {
+        return;
+    }
+    connection.failing_since_ms = Some(now_ms);
+    let answered_ms_ago = now_ms.saturating_sub(connection.last_answer_at_ms);
     let log_record = LogRecord::new(EventId::StoreUnreachable).with("purpose", format!("{purpose:?}"));
     let log_record = log_record.with("failure", format!("{failure:?}"));
-    world.log(log_record.with("took_ms", now_ms.saturating_sub(issued_at_ms)));
+    let log_record = log_record.with("took_ms", now_ms.saturating_sub(issued_at_ms));
+    world.log(log_record.with("store_answered_ms_ago", answered_ms_ago));
 }
 
-fn record_store_answer(world: &mut World, now_ms: u64) {
-    world.store_connection.last_answer_at_ms = now_ms;
-    if let Some(since_ms) = world.store_connection.failing_since_ms.take() {
-        world.log(LogRecord::new(EventId::StoreReachable).with("for_ms", now_ms.saturating_sub(since_ms)));
+fn record_store_answer(world: &mut World, purpose: &StorePurpose, now_ms: u64) {
+    let connection = &mut world.store_connection;
+    connection.last_answer_at_ms = now_ms;
+    let failed_calls = std::mem::take(&mut connection.failed_calls);
+    if let Some(since_ms) = connection.failing_since_ms.take() {
+        let log_record = LogRecord::new(EventId::StoreReachable).with("purpose", format!("{purpose:?}"));
+        let log_record = log_record.with("for_ms", now_ms.saturating_sub(since_ms));
+        world.log(log_record.with("failed_calls", failed_calls));
     }
 }
 
@@ -113,12 +126,9 @@
     if completion.issued_at_ms < range.ignore_issued_before_ms {
         return;
     }
-    if completion.outcome.is_ok() {
-        let answered_at_ms = std::mem::replace(&mut range.last_answer_at_ms, now_ms);
-        if std::mem::take(&mut range.is_stale) {
-            let log_record = LogRecord::new(EventId::RangeFresh).with("range", format!("{space:?}"));
-            world.log(log_record.with("age_ms", now_ms.saturating_sub(answered_at_ms)));
-        }
+    match completion.outcome {
+        Ok(_) => record_range_answer(world, space, now_ms),
+        Err(failure) => record_range_failure(world, space, failure, completion.issued_at_ms, now_ms),
     }
     let range = world.store_connection.followed_ranges.entry(space).or_default();
     match completion.outcome {
@@ -143,6 +153,40 @@
     }
 }
 
+fn record_range_answer(world: &mut World, space: KeySpace, now_ms: u64) {
+    let range = world.store_connection.followed_ranges.entry(space).or_default();
+    let answered_at_ms = std::mem::replace(&mut range.last_answer_at_ms, now_ms);
+    range.answer_gap_ms = now_ms.saturating_sub(answered_at_ms);
+    let (was_stale, failed_calls) =
+        (std::mem::take(&mut range.is_stale), std::mem::take(&mut range.failed_calls));
+    if was_stale || failed_calls > 0 {
+        let log_record = LogRecord::new(EventId::RangeFresh).with("range", format!("{space:?}"));
+        let log_record = log_record.with("age_ms", range.answer_gap_ms);
+        world.log(log_record.with("failed_calls", failed_calls));
+    }
+}
+
+/// Counts a failed call for a range, and logs the first one since the last answer.
+fn record_range_failure(
+    world: &mut World,
+    space: KeySpace,
+    failure: StoreFailure,
+    issued_at_ms: u64,
+    now_ms: u64,
+) {
+    let range = world.store_connection.followed_ranges.entry(space).or_default();
+    range.failed_calls += 1;
+    if range.failed_calls > 1 {
+        return;
+    }
+    let log_record = LogRecord::new(EventId::RangeCallFailed).with("range", format!("{space:?}"));
+    let log_record = log_record
+        .with("failure", format!("{failure:?}"))
+        .with("took_ms", now_ms.saturating_sub(issued_at_ms))
+        .with("age_ms", now_ms.saturating_sub(range.last_answer_at_ms));
+    world.log(log_record);
+}
+
 /// Returns the pause between watches of a range, in milliseconds.
 fn watch_pause_ms(space: KeySpace) -> u64 {
     match space {
@@ -169,6 +213,7 @@
             range.relist(now_ms);
             range.last_answer_at_ms = now_ms;
             range.is_stale = false;
+            range.failed_calls = 0;
         }
     }
 }
@@ -181,7 +226,8 @@
         if age_ms > STALE_AFTER_MS && !range.is_stale {
             range.is_stale = true;
             let log_record = LogRecord::new(EventId::RangeStale).with("range", format!("{space:?}"));
-            log_records.push(log_record.with("age_ms", age_ms).with("in_flight", range.in_flight));
+            let log_record = log_record.with("age_ms", age_ms).with("in_flight", range.in_flight);
+            log_records.push(log_record.with("failed_calls", range.failed_calls));
         }
     }
     for log_record in log_records {
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -36,6 +36,6 @@
             .add_system(TickSet::Runs, stop_orders::send_stop_orders)
             .add_system(TickSet::Runs, pace::send_filler_pace)
             .add_system(TickSet::Runs, poll::poll_hosts)
-            .add_system(TickSet::Outgoing, load::log_holder_load);
+            .add_system(TickSet::Outgoing, load::log_load);
     }
 }
--- a/crates/cassiahoist_standins/tests/systems/load.rs
+++ b/crates/cassiahoist_standins/tests/systems/load.rs
@@ -5,10 +5,11 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::holding::HoldingEvent;
 use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
-use cassiahoist_world::store::KeySpace;
+use cassiahoist_world::store::{KeySpace, StoreFailure};
+use cassiahoist_world::traffic::{OpenConnections, TrafficKind};
 use cassiahoist_world::unsent::UnsentCause;
 
-use crate::support::{TestDaemon, entry_change, host_entry, step};
+use crate::support::{TestDaemon, entry_change, host_entry, log_records, step};
 
 /// Runs ticks for some time and returns the logged loads.
 fn loads_for(daemon: &mut TestDaemon, time_ms: u64, tick_ms: u64) -> Vec<LogRecord> {
@@ -21,11 +22,17 @@
 }
 
 fn loads_of(effects: &[Effect]) -> Vec<LogRecord> {
-    let log_records = effects.iter().filter_map(|effect| match effect {
-        Effect::WriteLog(log_record) => Some(log_record),
-        _ => None,
-    });
-    log_records.filter(|log_record| log_record.event == EventId::HolderLoad).cloned().collect()
+    log_records(effects, EventId::HolderLoad)
+}
+
+/// Runs ticks for some time and returns the logged loads of the process.
+fn daemon_loads_for(daemon: &mut TestDaemon, time_ms: u64, tick_ms: u64) -> Vec<LogRecord> {
+    let until_ms = daemon.now_ms + time_ms;
+    let mut loads = Vec::new();
+    while daemon.now_ms < until_ms {
+        loads.extend(log_records(daemon.tick(tick_ms), EventId::DaemonLoad));
+    }
+    loads
 }
 
 /// Runs ticks until a load is logged, so that a new period begins.
@@ -139,3 +146,121 @@
     assert!(field(&answered, "hosts_range_age_ms") <= 1_000);
     assert!(field(&answered, "jobs_range_age_ms") > 3_000);
 }
+
+/// Daemons without the slice are many, so each logs its load seldom while nothing fails.
+#[test]
+fn standby_logs_the_load_of_its_process_every_ten_seconds() {
+    let mut daemon = TestDaemon::standby();
+    daemon_loads_for(&mut daemon, 1_000, 100);
+    let loads = daemon_loads_for(&mut daemon, 60_000, 100);
+    assert_eq!(loads.len(), 6);
+    assert!(loads.iter().all(|load| field(load, "period_ms") == 1_000));
+}
+
+#[test]
+fn holder_logs_the_load_of_its_process_every_second() {
+    let mut holder = TestDaemon::with_hosts(1);
+    finish_period(&mut holder);
+    assert_eq!(daemon_loads_for(&mut holder, 5_000, 100).len(), 5);
+}
+
+/// Class of a shared resource that is used up, at any daemon: connections by use, bytes by kind, and requests that were
+/// not sent by cause.
+#[test]
+fn load_of_the_process_shows_connections_bytes_and_unsent_requests() {
+    let mut daemon = TestDaemon::standby();
+    daemon_loads_for(&mut daemon, 1_000, 100);
+    let traffic = &mut daemon.app.world_mut().load.traffic;
+    traffic.connections =
+        OpenConnections { hosts: 2_700, hosts_limit: 2_829, callers: 40, peers: 146, store: 3, advice: 2 };
+    traffic.sent_bytes[TrafficKind::Starts as usize] = 1_700_000;
+    traffic.sent_bytes[TrafficKind::Peers as usize] = 60_000;
+    traffic.received_bytes = 400_000;
+    traffic.open_bytes = 900_000;
+    traffic.unsent[UnsentCause::LocalResources as usize] = 12;
+    let loads = daemon_loads_for(&mut daemon, 1_000, 100);
+    assert_eq!(loads.len(), 1, "a failure of its own is logged at once");
+    let expected = [
+        ("host_connections", 2_700),
+        ("host_connections_limit", 2_829),
+        ("caller_connections", 40),
+        ("peer_connections", 146),
+        ("store_connections", 3),
+        ("advice_connections", 2),
+        ("starts_bytes", 1_700_000),
+        ("polls_bytes", 0),
+        ("peers_bytes", 60_000),
+        ("received_bytes", 400_000),
+        ("open_bytes", 900_000),
+        ("unsent_local_resources", 12),
+        ("unsent_connect_failed", 0),
+    ];
+    for (name, value) in expected {
+        assert_eq!(field(&loads[0], name), value, "{name}");
+    }
+    daemon.app.world_mut().load.traffic.unsent[UnsentCause::ConnectFailed as usize] = 3;
+    let loads = daemon_loads_for(&mut daemon, 20_000, 100);
+    assert_eq!(
+        loads.len(),
+        2,
+        "counts are those of the period, and hosts that refuse are no failure of its own"
+    );
+    assert_eq!(field(&loads[0], "starts_bytes"), 0);
+}
+
+/// Class of a failure of the daemon's own, at any daemon: calls that it could not send, apart from those that failed.
+#[test]
+fn load_of_the_process_tells_unsent_store_calls_from_failed_ones() {
+    let mut daemon = TestDaemon::standby();
+    daemon.tick(1);
+    let call = daemon.store_calls().next().cloned().unwrap();
+    daemon_loads_for(&mut daemon, 1_000, 100);
+    daemon.answer_store(call.clone(), Err(StoreFailure::NotSent(UnsentCause::LocalResources)));
+    daemon.answer_store(call.clone(), Err(StoreFailure::Unknown));
+    daemon.answer_store(call, Err(StoreFailure::Unknown));
+    let load = daemon_loads_for(&mut daemon, 1_000, 100).remove(0);
+    assert_eq!(field(&load, "store_calls_unsent"), 1);
+    assert_eq!(field(&load, "store_calls_failed"), 2);
+}
+
+/// A daemon without processor time: a timer was due, and the tick came later.
+#[test]
+fn load_of_the_process_shows_late_ticks() {
+    let mut daemon = TestDaemon::standby();
+    daemon_loads_for(&mut daemon, 1_020, 10);
+    let due_at_ms = daemon.now_ms + 30;
+    daemon.app.world_mut().wake_by(due_at_ms);
+    daemon.tick(430);
+    let load = daemon_loads_for(&mut daemon, 1_000, 10).remove(0);
+    assert_eq!(field(&load, "longest_late_ms"), 400);
+}
+
+/// Class of work that grows with the backlog: waiting steps, and how many of them rounds visited.
+#[test]
+fn load_shows_the_work_that_a_backlog_causes() {
+    let mut holder = TestDaemon::with_hosts(1);
+    finish_period(&mut holder);
+    for job in 1..=40 {
+        holder.add_job(job, vec![step(20)]);
+    }
+    let load = finish_period(&mut holder);
+    let counters = holder.app.world().counters;
+    assert!(field(&load, "steps_visited") > 0 && field(&load, "host_searches") > 0);
+    assert!(field(&load, "steps_visited") <= counters.steps_visited);
+    assert_eq!(field(&load, "hosts"), 1);
+    assert_eq!(field(&load, "ready_steps"), 40);
+}
+
+/// Class of a decision on an incomplete listing: how old what a daemon knows is.
+#[test]
+fn load_of_the_process_shows_the_age_of_what_it_knows() {
+    let mut daemon = TestDaemon::standby();
+    daemon.tick(1);
+    daemon.receive_changes(KeySpace::Cell, Vec::new(), 70);
+    let answered_at_ms = daemon.now_ms;
+    let load = daemon_loads_for(&mut daemon, 11_000, 100).pop().unwrap();
+    assert_eq!(field(&load, "members"), 0);
+    assert!(field(&load, "cell_range_age_ms") > 9_000);
+    assert!(field(&load, "store_answer_age_ms") <= daemon.now_ms - answered_at_ms);
+    assert!(field(&load, "heartbeat_age_ms") > 9_000);
+}
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -7,7 +7,7 @@
 use cassiahoist_jobs::insert_job;
 use cassiahoist_world::app::App;
 use cassiahoist_world::config::QueuePolicy;
-use cassiahoist_world::effect::Effect;
+use cassiahoist_world::effect::{Effect, LogRecord};
 use cassiahoist_world::event::Event;
 use cassiahoist_world::holding::HoldingEvent;
 use cassiahoist_world::hosts::{Adoption, Host, HostEntry, HostKey};
@@ -251,6 +251,20 @@
     }
 }
 
+/// Lists the log records of an event, in order.
+pub fn log_records(effects: &[Effect], event: EventId) -> Vec<LogRecord> {
+    let records = effects.iter().filter_map(|effect| match effect {
+        Effect::WriteLog(log_record) if log_record.event == event => Some(log_record.clone()),
+        _ => None,
+    });
+    records.collect()
+}
+
+/// Returns a field of a log record; empty if it has no such field.
+pub fn field<'r>(log_record: &'r LogRecord, name: &str) -> &'r str {
+    log_record.fields.iter().find(|(field, _)| *field == name).map_or("", |(_, value)| value)
+}
+
 /// Creates a job in a queue without advice that allows two attempts.
 pub fn job_record(id: u64, steps: Vec<StepSpec>) -> Arc<JobRecord> {
     Arc::new(JobRecord {
--- a/crates/cassiahoist_traffic/src/advice_client.rs
+++ b/crates/cassiahoist_traffic/src/advice_client.rs
@@ -5,11 +5,13 @@
 use cassiahoist_world::advice::{AdviceAnswer, AdviceCall};
 use cassiahoist_world::event::Event;
 use cassiahoist_world::peer::PeerMessage;
+use cassiahoist_world::traffic::TrafficKind;
 
 use crate::control_link::ControlLink;
 use crate::http_client::{Exchange, HttpClient};
 use crate::peer_links::PeerLinks;
 use crate::protocol::{AdviceProtocol, ServiceAdvice};
+use crate::traffic_meter::{TrafficMeter, request_bytes};
 
 /// Calls the advice service and forwards its answers.
 #[derive(Clone, Debug)]
@@ -19,6 +21,7 @@
     http: HttpClient,
     peers: PeerLinks,
     control: ControlLink,
+    meter: TrafficMeter,
 }
 
 impl<P: AdviceProtocol> AdviceClient<P> {
@@ -27,7 +30,19 @@
     /// `None` means that the platform has no advice service; every call is then answered as failed.
     #[must_use]
     pub fn new(protocol: P, address: Option<String>, peers: PeerLinks, control: ControlLink) -> Self {
-        Self { protocol, address, http: HttpClient::new(), peers, control }
+        Self { protocol, address, http: HttpClient::new(), peers, control, meter: TrafficMeter::new() }
+    }
+
+    /// Sets the meter that counts the calls.
+    #[must_use]
+    pub fn with_meter(self, meter: TrafficMeter) -> Self {
+        Self { meter, ..self }
+    }
+
+    /// Returns the number of open connections, those that are being opened or closed included.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.http.open_connections()
     }
 
     /// Starts a call without waiting for it.
@@ -50,7 +65,9 @@
     async fn exchange(&self, call: &AdviceCall) -> Option<ServiceAdvice> {
         let address = self.address.as_deref()?;
         let request = self.protocol.encode_call(call).ok()?;
-        match self.http.exchange(address, request, Duration::from_millis(call.timeout_ms)).await {
+        let sent_bytes = request_bytes(&request);
+        let exchange = self.http.exchange(address, request, Duration::from_millis(call.timeout_ms));
+        match self.meter.measure(TrafficKind::Advice, sent_bytes, exchange).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(response.status().as_u16(), response.body())
             }
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -8,6 +8,7 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::calls::{CallAction, CallAnswer, CallRequest};
 use cassiahoist_world::event::Event;
+use cassiahoist_world::traffic::TrafficKind;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -20,6 +21,7 @@
 use crate::clock::MonotonicClock;
 use crate::control_link::ControlLink;
 use crate::protocol::{CallerProtocol, FullResponse};
+use crate::traffic_meter::{TrafficMeter, response_bytes};
 
 /// Pause after a connection could not be accepted, as when no descriptor is free.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -45,6 +47,8 @@
     pub clock: MonotonicClock,
     /// Link to the control thread, which answers the calls.
     pub control: ControlLink,
+    /// Counts connections and answers.
+    pub meter: TrafficMeter,
 }
 
 impl<P: CallerProtocol> CallerServer<P> {
@@ -72,7 +76,11 @@
                 .header_read_timeout(HEADER_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service);
             let connection = graceful.watch(connection);
-            drop(tokio::spawn(connection));
+            let open_connection = self.meter.open_caller_connection();
+            drop(tokio::spawn(async move {
+                let _closed = connection.await;
+                drop(open_connection);
+            }));
         }
         graceful.shutdown().await;
     }
@@ -82,7 +90,9 @@
             Ok(call) => self.forward(call).await,
             Err(kind) => CallAnswer::Error { kind, retry_after_ms: None },
         };
-        self.protocol.encode_answer(answer)
+        let response = self.protocol.encode_answer(answer);
+        self.meter.count_sent(TrafficKind::Callers, response_bytes(&response));
+        response
     }
 
     async fn decode(&self, request: Request<Incoming>) -> Result<CallRequest, ErrorKind> {
--- a/crates/cassiahoist_traffic/src/dispatcher.rs
+++ b/crates/cassiahoist_traffic/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use cassiahoist_telemetry::LogWriter;
 use cassiahoist_world::effect::Effect;
+use cassiahoist_world::traffic::{OpenConnections, TrafficTotals};
 
 use crate::advice_client::AdviceClient;
 use crate::control_link::ControlLink;
@@ -9,6 +10,7 @@
 use crate::peer_links::PeerLinks;
 use crate::protocol::Platform;
 use crate::store_client::StoreClient;
+use crate::traffic_meter::TrafficMeter;
 
 /// Dispatches effects to the clients on the traffic runtime.
 #[derive(Clone, Debug)]
@@ -25,6 +27,8 @@
     pub peers: PeerLinks,
     /// Writes the log records of a tick, without blocking on output.
     pub log: LogWriter,
+    /// Counts the traffic of clients and servers.
+    pub meter: TrafficMeter,
     /// Runtime that the clients spawn their tasks on.
     pub runtime: tokio::runtime::Handle,
 }
@@ -39,6 +43,21 @@
 }
 
 impl<P: Platform> Dispatcher<P> {
+    /// Returns the traffic so far and the open connections.
+    #[must_use]
+    pub fn traffic_totals(&self) -> TrafficTotals {
+        let totals = self.meter.totals();
+        let connections = OpenConnections {
+            hosts: self.hosts.open_connections() as u64,
+            hosts_limit: self.hosts.max_open_connections() as u64,
+            peers: self.peers.open_connections() as u64,
+            store: self.store.open_connections() as u64,
+            advice: self.advice.open_connections() as u64,
+            ..totals.connections
+        };
+        TrafficTotals { connections, ..totals }
+    }
+
     /// Dispatches an effect without waiting for its result.
     #[must_use]
     pub fn dispatch(&self, effect: Effect) -> LoopControl {
--- a/crates/cassiahoist_traffic/src/host_client.rs
+++ b/crates/cassiahoist_traffic/src/host_client.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use cassiahoist_world::event::Event;
-use cassiahoist_world::orders::{HostOrder, OrderCompletion, OrderOutcome};
+use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
+use cassiahoist_world::traffic::TrafficKind;
 use cassiahoist_world::unsent::UnsentCause;
 
 use crate::clock::MonotonicClock;
 use crate::control_link::ControlLink;
 use crate::http_client::{Exchange, HttpClient};
 use crate::protocol::{HostProtocol, HostReply};
+use crate::traffic_meter::{TrafficMeter, request_bytes};
 
 /// Most open connections to one host.
 ///
@@ -24,13 +26,21 @@
     http: HttpClient,
     clock: MonotonicClock,
     control: ControlLink,
+    meter: TrafficMeter,
 }
 
 impl<P: HostProtocol> HostClient<P> {
     /// Creates a client without connections; `clock` timestamps the replies.
     #[must_use]
     pub fn new(protocol: P, clock: MonotonicClock, control: ControlLink) -> Self {
-        Self { protocol, http: HttpClient::new().with_max_connections(MAX_CONNECTIONS), clock, control }
+        let http = HttpClient::new().with_max_connections(MAX_CONNECTIONS);
+        Self { protocol, http, clock, control, meter: TrafficMeter::new() }
+    }
+
+    /// Sets the meter that counts the orders.
+    #[must_use]
+    pub fn with_meter(self, meter: TrafficMeter) -> Self {
+        Self { meter, ..self }
     }
 
     /// Sets the limit of open connections to all hosts together.
@@ -79,7 +89,9 @@
         };
         let timeout = Duration::from_millis(order.timeout_ms);
         let is_timely = || self.clock.now_ms() <= issued_at_ms + order.timeout_ms;
-        match self.http.exchange_if(&order.address, request, timeout, is_timely).await {
+        let sent_bytes = request_bytes(&request);
+        let exchange = self.http.exchange_if(&order.address, request, timeout, is_timely);
+        match self.meter.measure(traffic_kind(&order.order), sent_bytes, exchange).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(order, response.status().as_u16(), response.body())
             }
@@ -88,3 +100,11 @@
         }
     }
 }
+
+fn traffic_kind(order: &Order) -> TrafficKind {
+    match order {
+        Order::Start { .. } => TrafficKind::Starts,
+        Order::Poll { .. } => TrafficKind::Polls,
+        Order::Stop { .. } | Order::SetPace { .. } => TrafficKind::OtherOrders,
+    }
+}
--- a/crates/cassiahoist_traffic/src/lib.rs
+++ b/crates/cassiahoist_traffic/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod peer_server;
 pub mod protocol;
 pub mod store_client;
+pub mod traffic_meter;
--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -6,10 +6,14 @@
 use cassiahoist_wire::peer::encode_delivery;
 use cassiahoist_wire::peer_client::PeerClient;
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
+use cassiahoist_world::traffic::TrafficKind;
+use prost::Message;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 use tonic::transport::{Channel, Endpoint};
 
+use crate::traffic_meter::TrafficMeter;
+
 /// Time for a connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -30,13 +34,27 @@
     local: PeerSender,
     idle_timeout: Duration,
     queues: Arc<Mutex<FxHashMap<String, mpsc::Sender<PeerMessage>>>>,
+    meter: TrafficMeter,
 }
 
 impl PeerLinks {
     /// Creates links that name `local` as the sender of messages.
     #[must_use]
     pub fn new(local: PeerSender) -> Self {
-        Self { local, idle_timeout: DEFAULT_IDLE_TIMEOUT, queues: Arc::default() }
+        Self { local, idle_timeout: DEFAULT_IDLE_TIMEOUT, queues: Arc::default(), meter: TrafficMeter::new() }
+    }
+
+    /// Sets the meter that counts the messages.
+    #[must_use]
+    pub fn with_meter(self, meter: TrafficMeter) -> Self {
+        Self { meter, ..self }
+    }
+
+    /// Returns the number of connections to peers in use.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        let queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        queues.values().filter(|queue| !queue.is_closed()).count()
     }
 
     /// Sets the time without messages after which the connection to a peer is closed.
@@ -67,7 +85,8 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true);
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        drop(tokio::spawn(deliver_messages(endpoint, self.local.clone(), self.idle_timeout, messages)));
+        let (local, meter) = (self.local.clone(), self.meter.clone());
+        drop(tokio::spawn(deliver_messages(endpoint, local, self.idle_timeout, meter, messages)));
         queues.insert(address.into(), queue.clone());
         Some(queue)
     }
@@ -78,6 +97,7 @@
     endpoint: Endpoint,
     local: PeerSender,
     idle_timeout: Duration,
+    meter: TrafficMeter,
     mut messages: mpsc::Receiver<PeerMessage>,
 ) {
     let mut client = PeerClient::new(endpoint.connect_lazy());
@@ -96,6 +116,7 @@
             batch.clear();
             continue;
         };
+        meter.count_sent(TrafficKind::Peers, request.encoded_len() as u64);
         let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request.clone())).await;
         if !matches!(delivered, Ok(Ok(_))) {
             // The connection may be dead, so retry once on a new one. Messages may arrive twice; receivers handle that.
--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -2,12 +2,14 @@
 
 use cassiahoist_world::event::Event;
 use cassiahoist_world::store::{StoreCall, StoreCompletion, StoreFailure, StoreOp, StoreReply};
+use cassiahoist_world::traffic::TrafficKind;
 use cassiahoist_world::unsent::UnsentCause;
 
 use crate::clock::MonotonicClock;
 use crate::control_link::ControlLink;
 use crate::http_client::{Exchange, HttpClient};
 use crate::protocol::{StorePage, StoreProtocol};
+use crate::traffic_meter::{TrafficMeter, request_bytes};
 
 /// Most connections for calls that keep the lease. One such call is open at a time, and one that timed out may still close.
 const LEASE_CONNECTIONS: usize = 2;
@@ -22,6 +24,7 @@
     lease_http: HttpClient,
     clock: MonotonicClock,
     control: ControlLink,
+    meter: TrafficMeter,
 }
 
 impl<P: StoreProtocol> StoreClient<P> {
@@ -35,9 +38,22 @@
             lease_http: HttpClient::new().with_max_connections(LEASE_CONNECTIONS),
             clock,
             control,
+            meter: TrafficMeter::new(),
         }
     }
 
+    /// Sets the meter that counts the calls.
+    #[must_use]
+    pub fn with_meter(self, meter: TrafficMeter) -> Self {
+        Self { meter, ..self }
+    }
+
+    /// Returns the number of open connections, those that are being opened or closed included.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.http.open_connections() + self.lease_http.open_connections()
+    }
+
     /// Returns the client whose connections are for an operation.
     fn http_for(&self, op: &StoreOp) -> &HttpClient {
         match op {
@@ -88,7 +104,9 @@
             .encode_op(op, after)
             .map_err(|_unencodable| StoreFailure::NotSent(UnsentCause::Unencodable))?;
         let timeout = self.clock.duration_until(deadline_ms);
-        match self.http_for(op).exchange(&self.address, request, timeout).await {
+        let sent_bytes = request_bytes(&request);
+        let exchange = self.http_for(op).exchange(&self.address, request, timeout);
+        match self.meter.measure(TrafficKind::Store, sent_bytes, exchange).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(op, response.status().as_u16(), response.body())
             }
--- /dev/null
+++ b/crates/cassiahoist_traffic/src/traffic_meter.rs
@@ -0,0 +1,128 @@
+//! Counts connections, bytes and requests that were not sent.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cassiahoist_world::traffic::{OpenConnections, TrafficKind, TrafficTotals};
+use cassiahoist_world::unsent::UnsentCause;
+use hyper::body::Body;
+use hyper::http::HeaderMap;
+
+use crate::http_client::Exchange;
+use crate::protocol::{FullRequest, FullResponse};
+
+/// Bytes that a header takes beside its name and value.
+const HEADER_OVERHEAD_BYTES: usize = 4;
+
+/// Totals that all traffic threads add to.
+#[derive(Debug, Default)]
+struct Totals {
+    sent_bytes: [AtomicU64; TrafficKind::ALL.len()],
+    received_bytes: AtomicU64,
+    open_bytes: AtomicU64,
+    unsent: [AtomicU64; UnsentCause::ALL.len()],
+    caller_connections: AtomicU64,
+}
+
+/// Counts the traffic of this daemon; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficMeter {
+    totals: Arc<Totals>,
+}
+
+/// Amount that is counted as long as this value lives.
+#[derive(Debug)]
+pub struct OpenAmount {
+    totals: Arc<Totals>,
+    cell: fn(&Totals) -> &AtomicU64,
+    amount: u64,
+}
+
+impl Drop for OpenAmount {
+    fn drop(&mut self) {
+        (self.cell)(&self.totals).fetch_sub(self.amount, Ordering::Relaxed);
+    }
+}
+
+impl TrafficMeter {
+    /// Creates a meter without counts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Runs an exchange, and counts its request while it is open and its result.
+    pub async fn measure(
+        &self,
+        kind: TrafficKind,
+        request_bytes: u64,
+        exchange: impl Future<Output = Exchange>,
+    ) -> Exchange {
+        let open = self.count_open(|totals| &totals.open_bytes, request_bytes);
+        let result = exchange.await;
+        drop(open);
+        match &result {
+            Exchange::Response(response) => {
+                self.count_sent(kind, request_bytes);
+                let received_bytes = header_bytes(response.headers()) + response.body().len();
+                self.totals.received_bytes.fetch_add(received_bytes as u64, Ordering::Relaxed);
+            }
+            Exchange::NoResponse => self.count_sent(kind, request_bytes),
+            Exchange::NotSent(cause) => {
+                self.totals.unsent[*cause as usize].fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        result
+    }
+
+    /// Counts the bytes of a message that was sent.
+    pub fn count_sent(&self, kind: TrafficKind, bytes: u64) {
+        self.totals.sent_bytes[kind as usize].fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Counts a connection of a caller until the returned value is dropped.
+    #[must_use]
+    pub fn open_caller_connection(&self) -> OpenAmount {
+        self.count_open(|totals| &totals.caller_connections, 1)
+    }
+
+    fn count_open(&self, cell: fn(&Totals) -> &AtomicU64, amount: u64) -> OpenAmount {
+        cell(&self.totals).fetch_add(amount, Ordering::Relaxed);
+        OpenAmount { totals: Arc::clone(&self.totals), cell, amount }
+    }
+
+    /// Returns the counts so far. Only the connections of callers are filled in.
+    #[must_use]
+    pub fn totals(&self) -> TrafficTotals {
+        let totals = &self.totals;
+        let read = |cell: &AtomicU64| cell.load(Ordering::Relaxed);
+        TrafficTotals {
+            sent_bytes: std::array::from_fn(|kind| read(&totals.sent_bytes[kind])),
+            received_bytes: read(&totals.received_bytes),
+            open_bytes: read(&totals.open_bytes),
+            unsent: std::array::from_fn(|cause| read(&totals.unsent[cause])),
+            connections: OpenConnections {
+                callers: read(&totals.caller_connections),
+                ..OpenConnections::default()
+            },
+        }
+    }
+}
+
+fn header_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES).sum()
+}
+
+/// Returns about how many bytes a request takes on the link.
+#[must_use]
+pub fn request_bytes(request: &FullRequest) -> u64 {
+    let path_bytes = request.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    let head_bytes = path_bytes + header_bytes(request.headers());
+    head_bytes as u64 + request.body().size_hint().lower()
+}
+
+/// Returns about how many bytes a response takes on the link.
+#[must_use]
+pub fn response_bytes(response: &FullResponse) -> u64 {
+    header_bytes(response.headers()) as u64 + response.body().size_hint().lower()
+}
--- a/crates/cassiahoist_world/src/app.rs
+++ b/crates/cassiahoist_world/src/app.rs
@@ -60,7 +60,7 @@
     ///
     /// `now_ms` is the monotonic time and `unix_ms` the Unix time, both in milliseconds.
     pub fn tick(&mut self, now_ms: u64, unix_ms: u64) {
-        self.world.wake_at_ms = u64::MAX;
+        self.world.due_at_ms = std::mem::replace(&mut self.world.wake_at_ms, u64::MAX);
         self.world.local.unix_ms = unix_ms;
         self.schedule.run(&mut self.world, now_ms);
     }
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -190,6 +190,8 @@
     pub next_heartbeat_at_ms: u64,
     /// Latest heartbeat of the holder; `None` before the first.
     pub holder_status: Option<HolderStatus>,
+    /// Since when the holder's heartbeats have not arrived, in monotonic milliseconds. `None` if they arrive.
+    pub holder_silent_since_ms: Option<u64>,
 }
 
 impl CallTable {
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -54,6 +54,8 @@
     pub store_calls: u64,
     /// Calls to the store that this daemon could not send, for a reason of its own.
     pub store_calls_unsent: u64,
+    /// Calls to the store that were sent and failed, or for which no connection opened.
+    pub store_calls_failed: u64,
     /// Calls for advice by this holder, including those that other daemons make for it.
     pub advice_calls: u64,
     /// Ready steps that rounds of advice, rounds of placement and checks of gangs visited.
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -137,6 +137,8 @@
     pub loading: RecordLoading,
     /// Daemon that made the latest claim seen.
     pub last_holder: Option<Incarnation>,
+    /// Vacancy for which a wait before the claim was logged, by its start in monotonic milliseconds.
+    pub deferral_logged_for_ms: Option<u64>,
     /// When this daemon last sent a claim, in monotonic milliseconds; 0 if never.
     pub claim_sent_at_ms: u64,
     /// When this daemon began to poll hosts under its present claim, in monotonic milliseconds.
@@ -186,6 +188,7 @@
             unconfirmed_since_ms: None,
             loading: RecordLoading::default(),
             last_holder: None,
+            deferral_logged_for_ms: None,
             claim_sent_at_ms: 0,
             polling_since_ms: 0,
             claim_release: ClaimRelease::default(),
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -63,6 +63,17 @@
 const ORDER_OVERHEAD_BYTES: usize = 400;
 
 impl Order {
+    /// Returns the name of the kind of order, which log lines carry.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Start { .. } => "Start",
+            Self::Stop { .. } => "Stop",
+            Self::Poll { .. } => "Poll",
+            Self::SetPace { .. } => "SetPace",
+        }
+    }
+
     /// Returns about how many bytes the order takes on the link.
     #[must_use]
     pub fn size_bytes(&self) -> u64 {
--- a/crates/cassiahoist_world/src/store_connection.rs
+++ b/crates/cassiahoist_world/src/store_connection.rs
@@ -19,6 +19,10 @@
     ///
     /// Before the first answer, when this daemon began to follow the range.
     pub last_answer_at_ms: u64,
+    /// Time between the last two answers, in milliseconds. A change in the last one is at most this old.
+    pub answer_gap_ms: u64,
+    /// Calls that failed since the last answer.
+    pub failed_calls: u32,
     /// Whether the range was logged as stale since its last answer.
     pub is_stale: bool,
 }
@@ -40,6 +44,8 @@
     /// Since when calls have failed without an answer between, in monotonic milliseconds. `None` after an
     /// answer.
     pub failing_since_ms: Option<u64>,
+    /// Calls that have failed since then.
+    pub failed_calls: u32,
     /// When the oldest call since the last answer was issued, in monotonic milliseconds.
     ///
     /// Watches do not count. `None` if no call was issued since.
@@ -93,6 +99,19 @@
             || self.unanswered_since_ms.is_some_and(|since_ms| now_ms >= since_ms + UNRESPONSIVE_AFTER_MS)
     }
 
+    /// Returns the time since a followed range was answered, in milliseconds; 0 if it is not followed.
+    #[must_use]
+    pub fn range_age_ms(&self, space: KeySpace, now_ms: u64) -> u64 {
+        let range = self.followed_ranges.get(&space);
+        range.map_or(0, |range| now_ms.saturating_sub(range.last_answer_at_ms))
+    }
+
+    /// Returns the greatest age of a change in the last answer for a range, in milliseconds.
+    #[must_use]
+    pub fn range_gap_ms(&self, space: KeySpace) -> u64 {
+        self.followed_ranges.get(&space).map_or(0, |range| range.answer_gap_ms)
+    }
+
     /// Returns whether a call has failed since the store last answered.
     #[must_use]
     pub fn is_failing(&self) -> bool {
--- a/crates/cassiahoist_world/src/unsent.rs
+++ b/crates/cassiahoist_world/src/unsent.rs
@@ -20,6 +20,17 @@
 }
 
 impl UnsentCause {
+    /// Every cause, in the order of the variants.
+    pub const ALL: [Self; 7] = [
+        Self::NoFreeConnection,
+        Self::LocalResources,
+        Self::Expired,
+        Self::Unencodable,
+        Self::ConnectFailed,
+        Self::ConnectTimeout,
+        Self::ConnectionClosed,
+    ];
+
     /// Returns whether the cause lies with this daemon and says nothing about the remote side.
     #[must_use]
     pub fn is_local(self) -> bool {
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -62,6 +62,8 @@
     pub load: LoadTable,
     /// When the next tick is due, in monotonic milliseconds. Reset to `u64::MAX` by each tick.
     pub wake_at_ms: u64,
+    /// When the present tick was due, in monotonic milliseconds; `u64::MAX` if no system requested it.
+    pub due_at_ms: u64,
 }
 
 impl World {
@@ -87,6 +89,7 @@
             counters: Counters::default(),
             load: LoadTable::default(),
             wake_at_ms: u64::MAX,
+            due_at_ms: u64::MAX,
         }
     }
 
