Log the inputs of decisions about the claim, the store and hosts

What was missing: nothing said why a daemon claimed the slice or waited, what it knew then, or why a claim failed. Lines of lost leases had no field. A host whose entry disappeared left no line, and none told a short listing from hosts that left.

Change: ClaimDeferred (once a vacancy), ClaimSent and ClaimFailed with the members known and the age of each input; HostsListed, HostMissing and HostReturned; HolderSilent and HolderHeard in pairs; ages and outcomes in the lines of hosts, leases, claims, slow and weak holders, stalled and lost runs, refused starts and refused calls.

--- a/crates/cassiahoist_hosts/src/entries.rs
+++ b/crates/cassiahoist_hosts/src/entries.rs
@@ -29,6 +29,7 @@
 
 fn apply_full_listing(world: &mut World, items: Vec<StoreItem>, now_ms: u64) {
     let mut listed_names = FxHashSet::default();
+    let known_hosts = world.hosts.len();
     for item in items {
         if let StoreValue::Host(entry) = &item.value {
             listed_names.insert(entry.name.clone());
@@ -37,8 +38,14 @@
     }
     let missing = world.hosts.iter().filter(|(_, host)| !listed_names.contains(&host.entry.name));
     let missing: Vec<HostKey> = missing.map(|(key, _)| key).collect();
+    let log_record = LogRecord::new(EventId::HostsListed)
+        .with("listed", listed_names.len())
+        .with("known", known_hosts)
+        .with("not_listed", missing.len())
+        .with("range_gap_ms", world.store_connection.range_gap_ms(KeySpace::Hosts));
+    world.log(log_record);
     for key in missing {
-        mark_missing(world, key, now_ms);
+        mark_missing(world, key, "not listed", now_ms);
     }
     world.holding.loading.hosts_loaded = true;
 }
@@ -47,19 +54,27 @@
     if let StoreKey::Host(name) = store_key
         && let Some(key) = world.hosts.find(name)
     {
-        mark_missing(world, key, now_ms);
+        mark_missing(world, key, "removed", now_ms);
     }
 }
 
 /// Marks a host without a store entry as missing.
 ///
 /// A host that is not engaged never got an order, so its row is removed.
-fn mark_missing(world: &mut World, key: HostKey, now_ms: u64) {
+fn mark_missing(world: &mut World, key: HostKey, cause: &str, now_ms: u64) {
     if !world.hosts.is_engaged(key) {
         world.hosts.remove(key);
-    } else if let Some(host) = world.hosts.get_mut(key) {
-        host.missing_since_ms.get_or_insert(now_ms);
+        return;
     }
+    let Some(host) = world.hosts.get_mut(key).filter(|host| host.missing_since_ms.is_none()) else { return };
+    host.missing_since_ms = Some(now_ms);
+    let log_record = LogRecord::new(EventId::HostMissing)
+        .with("host", &host.entry.name)
+        .with("cause", cause)
+        .with("runs", host.runs.len())
+        .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
+        .with("range_gap_ms", world.store_connection.range_gap_ms(KeySpace::Hosts));
+    world.log(log_record);
 }
 
 fn apply_entry(world: &mut World, item: StoreItem, now_ms: u64) {
@@ -89,7 +104,10 @@
         reset_restarted_host(world, key, "it registered a new incarnation", now_ms);
     }
     let Some(host) = world.hosts.get_mut(key) else { return };
-    host.missing_since_ms = None;
+    if let Some(since_ms) = host.missing_since_ms.take() {
+        let log_record = LogRecord::new(EventId::HostReturned).with("host", &entry.name);
+        world.log(log_record.with("missing_ms", now_ms.saturating_sub(since_ms)));
+    }
     world.hosts.set_entry(key, entry);
     update_draining_since(world, key, now_ms);
 }
@@ -101,7 +119,9 @@
     } else if host.draining_since_ms.is_none() {
         host.draining_since_ms = Some(now_ms);
         let log_record = LogRecord::new(EventId::HostDraining).with("host", &host.entry.name);
-        let log_record = log_record.with("runs", host.runs.len());
+        let log_record = log_record
+            .with("runs", host.runs.len())
+            .with("range_gap_ms", world.store_connection.range_gap_ms(KeySpace::Hosts));
         world.log(log_record);
     }
 }
--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -194,14 +194,17 @@
 
 /// Builds the log record of a refusal.
 ///
-/// It includes the facts behind the decision: the configuration's version and the age of the store's last answer.
+/// It includes the facts behind the decision: the configuration's version and the age of what the store and the holder
+/// last said.
 fn build_refusal_record(world: &World, kind: ErrorKind, reason: &str, now_ms: u64) -> LogRecord {
     let version = world.config.current.as_ref().map_or(0, |config| config.version);
+    let heartbeat_at_ms = world.calls.holder_status.as_ref().map_or(0, |status| status.received_at_ms);
     LogRecord::new(EventId::CallRefused)
         .with("kind", format!("{kind:?}"))
         .with("reason", reason)
         .with("config_version", version)
         .with("store_answered_ms_ago", now_ms.saturating_sub(world.store_connection.last_answer_at_ms))
+        .with("heartbeat_ms_ago", now_ms.saturating_sub(heartbeat_at_ms))
 }
 
 /// Answers an open call with an error and logs the refusal.
--- a/crates/cassiahoist_jobs/src/heartbeat.rs
+++ b/crates/cassiahoist_jobs/src/heartbeat.rs
@@ -4,6 +4,7 @@
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::JobState;
+use cassiahoist_world::store::KeySpace;
 use rustc_hash::FxHashMap;
 
 /// Interval between heartbeats, in milliseconds.
@@ -11,6 +12,37 @@
 /// Counts that callers get may be up to two seconds old.
 const HEARTBEAT_INTERVAL_MS: u64 = 900;
 
+/// Age of the last heartbeat from which the holder is silent, in milliseconds. One may be lost.
+const MAX_HEARTBEAT_AGE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS + 100;
+
+/// Logs when the holder's heartbeats stop to arrive, and when they arrive again.
+///
+/// Calls that need the holder's counts are refused meanwhile.
+pub fn detect_silent_holder(world: &mut World, now_ms: u64) {
+    let heartbeat_at_ms = world.calls.holder_status.as_ref().map_or(0, |status| status.received_at_ms);
+    let age_ms = if world.holding.is_holding() { 0 } else { now_ms.saturating_sub(heartbeat_at_ms) };
+    match world.calls.holder_silent_since_ms {
+        None if age_ms > MAX_HEARTBEAT_AGE_MS => {
+            world.calls.holder_silent_since_ms = Some(now_ms);
+            log_silence(world, EventId::HolderSilent, age_ms, now_ms);
+        }
+        Some(since_ms) if age_ms <= MAX_HEARTBEAT_AGE_MS => {
+            world.calls.holder_silent_since_ms = None;
+            log_silence(world, EventId::HolderHeard, now_ms - since_ms, now_ms);
+        }
+        None | Some(_) => {}
+    }
+}
+
+fn log_silence(world: &mut World, event: EventId, silent_ms: u64, now_ms: u64) {
+    let holder = world.holding.claim.as_ref().map_or("none".into(), |(claim, _)| claim.holder.to_string());
+    let log_record = LogRecord::new(event)
+        .with("holder", holder)
+        .with("silent_ms", silent_ms)
+        .with("range_age_ms", world.store_connection.range_age_ms(KeySpace::Cell, now_ms));
+    world.log(log_record);
+}
+
 /// Counts jobs that have not started, by queue; queues without one are absent.
 #[must_use]
 pub(crate) fn count_queued_jobs(world: &World) -> FxHashMap<QueueName, u64> {
--- a/crates/cassiahoist_jobs/src/lib.rs
+++ b/crates/cassiahoist_jobs/src/lib.rs
@@ -41,6 +41,7 @@
             .add_system(TickSet::StoreWrites, progress::apply_progress_answers)
             .add_system(TickSet::StoreWrites, progress::record_progress)
             .add_system(TickSet::StoreWrites, job_removal::remove_old_jobs)
+            .add_system(TickSet::Outgoing, heartbeat::detect_silent_holder)
             .add_system(TickSet::Outgoing, heartbeat::send_heartbeat);
     }
 }
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -147,13 +147,19 @@
 pub fn claim_vacant_slice(world: &mut World, now_ms: u64) {
     let revision = match decide_claim(world, now_ms) {
         ClaimDecision::Skip => return,
-        ClaimDecision::WaitUntil(at_ms) => return world.wake_by(at_ms),
+        ClaimDecision::WaitUntil(at_ms) => {
+            log_deferral(world, at_ms, now_ms);
+            return world.wake_by(at_ms);
+        }
         ClaimDecision::Claim(revision) => revision,
     };
     let Some(lease) = world.store_connection.lease else { return };
     let term = world.holding.term + 1;
     let holder = world.local.incarnation.clone();
     let claim = ClaimRecord { holder: holder.clone(), peer_address: world.local.peer_address.clone(), term };
+    let log_record =
+        LogRecord::new(EventId::ClaimSent).with("term", term).with("replaced_revision", revision);
+    world.log(add_claim_inputs(world, log_record, now_ms));
     let transaction = Transaction::default()
         .with_expect(StoreKey::Claim(SLICE), revision)
         .with_expect(StoreKey::Term(SLICE), world.holding.term_revision)
@@ -164,6 +170,37 @@
     world.call_store(StorePurpose::ClaimSlice, StoreOp::Commit(transaction), now_ms, CLAIM_TIMEOUT_MS);
 }
 
+/// Logs once for each vacancy that this daemon waits before it claims.
+fn log_deferral(world: &mut World, due_at_ms: u64, now_ms: u64) {
+    let vacant_since_ms = world.holding.vacant_since_ms;
+    if world.holding.deferral_logged_for_ms == vacant_since_ms {
+        return;
+    }
+    world.holding.deferral_logged_for_ms = vacant_since_ms;
+    let log_record = LogRecord::new(EventId::ClaimDeferred).with("due_in_ms", due_at_ms - now_ms);
+    world.log(add_claim_inputs(world, log_record, now_ms));
+}
+
+/// Adds what this daemon knows of the slice and the other daemons, and how old that is.
+fn add_claim_inputs(world: &World, log_record: LogRecord, now_ms: u64) -> LogRecord {
+    let (holding, own) = (&world.holding, &world.local.incarnation);
+    let left_out = holding.last_holder.as_ref().filter(|holder| **holder != *own);
+    let stronger_members = world.members.claim_rank(&own.member, world.local.limits, left_out);
+    let ms_ago = |at_ms: Option<u64>| at_ms.map_or("never".into(), |at_ms| (now_ms - at_ms).to_string());
+    let heartbeat_at_ms = world.calls.holder_status.as_ref().map(|status| status.received_at_ms);
+    let last_holder = holding.last_holder.as_ref().map_or("none".into(), Incarnation::to_string);
+    log_record
+        .with("vacant_ms", ms_ago(holding.vacant_since_ms))
+        .with("members", world.members.iter().count())
+        .with("members_before", stronger_members)
+        .with("registered_ms_ago", ms_ago(world.members.registered_at_ms(own)))
+        .with("range_age_ms", world.store_connection.range_age_ms(KeySpace::Cell, now_ms))
+        .with("last_holder", last_holder)
+        .with("heartbeat_ms_ago", ms_ago(heartbeat_at_ms))
+        .with("cpu_milli", world.local.limits.cpu_milli)
+        .with("link_mbps", world.local.limits.link_mbps)
+}
+
 /// Applies the store's answers to claims.
 pub fn apply_claim_answers(world: &mut World, now_ms: u64) {
     for completion in world.inbox.take_store_results(|purpose| *purpose == StorePurpose::ClaimSlice) {
@@ -192,14 +229,19 @@
             begin_adoption(world, now_ms);
         }
         Ok(reply) => {
-            if let StoreReply::LeaseNotFound = reply {
+            let outcome = if let StoreReply::LeaseNotFound = reply {
                 forget_lease(world, now_ms);
-            }
+                "LeaseNotFound"
+            } else {
+                "Conflict"
+            };
+            log_failed_claim(world, outcome, completion.issued_at_ms, now_ms);
             world.holding.apply_event(HoldingEvent::ClaimFailed);
             // The watch may lag behind the claim that caused the conflict.
             world.store_connection.followed_ranges.entry(KeySpace::Cell).or_default().relist(now_ms);
         }
         Err(failure) => {
+            log_failed_claim(world, &format!("{failure:?}"), completion.issued_at_ms, now_ms);
             if failure == StoreFailure::Unknown {
                 world.store_connection.followed_ranges.entry(KeySpace::Cell).or_default().relist(now_ms);
             }
@@ -209,6 +251,11 @@
     world.wake_by(now_ms + RETRY_DELAY_MS);
 }
 
+fn log_failed_claim(world: &mut World, outcome: &str, issued_at_ms: u64, now_ms: u64) {
+    let log_record = LogRecord::new(EventId::ClaimFailed).with("outcome", outcome);
+    world.log(log_record.with("took_ms", now_ms.saturating_sub(issued_at_ms)));
+}
+
 /// Begins the adoption of the slice after a claim succeeded.
 ///
 /// Adoption loads the records and hosts that an earlier holder left. It is skipped, and the tables are kept, if this
--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -53,7 +53,11 @@
 fn drop_lease(world: &mut World, now_ms: u64) {
     forget_lease(world, now_ms);
     world.members.registered = false;
-    world.log(LogRecord::new(EventId::LeaseLost));
+    let connection = &world.store_connection;
+    let log_record = LogRecord::new(EventId::LeaseLost)
+        .with("renewed_ms_ago", now_ms.saturating_sub(connection.lease_renewed_at_ms))
+        .with("store_answered_ms_ago", now_ms.saturating_sub(connection.last_answer_at_ms));
+    world.log(log_record);
     step_down(world, StepDownCause::Lapsed, now_ms);
 }
 
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -162,5 +162,11 @@
     }
     let took_ms = now_ms - world.holding.claim_won_at_ms().unwrap_or(now_ms);
     let log_record = LogRecord::new(EventId::SliceAdopted).with("jobs", world.jobs.len());
-    world.log(log_record.with("hosts", world.hosts.len()).with("took_ms", took_ms));
+    let log_record = log_record
+        .with("hosts", world.hosts.len())
+        .with("engaged_hosts", world.hosts.iter_engaged().count())
+        .with("took_ms", took_ms)
+        .with("hosts_range_age_ms", world.store_connection.range_age_ms(KeySpace::Hosts, now_ms))
+        .with("jobs_range_age_ms", world.store_connection.range_age_ms(KeySpace::Jobs, now_ms));
+    world.log(log_record);
 }
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -111,7 +111,9 @@
     if revision != known_revision {
         world.holding.claim_seen_at_ms = now_ms;
         let log_record = LogRecord::new(EventId::HolderChanged).with("holder", &claim.holder);
-        world.log(log_record.with("fence", fence).with("term", claim.term));
+        let range_gap_ms = world.store_connection.range_gap_ms(KeySpace::Cell);
+        let log_record = log_record.with("fence", fence).with("term", claim.term);
+        world.log(log_record.with("range_gap_ms", range_gap_ms));
     }
     world.holding.claim = Some((claim, revision));
     step_down(world, StepDownCause::Succeeded { by: fence }, now_ms);
--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -75,7 +75,9 @@
         && world.holding.releasing_since_ms.is_none()
     {
         let min_latency_ms = world.holding.answer_times.min_latency_ms;
-        world.log(LogRecord::new(EventId::HolderSlow).with("quickest_answer_ms", min_latency_ms));
+        let log_record = LogRecord::new(EventId::HolderSlow).with("quickest_answer_ms", min_latency_ms);
+        let log_record = log_record.with("tenure_ms", tenure_ms);
+        world.log(log_record.with("start_limit", world.runs.start_window.limit()));
         world.holding.releasing_since_ms = Some(now_ms);
         world.holding.yield_until_ms = now_ms + CLAIM_DELAY_PERIOD_MS;
     }
--- a/crates/cassiahoist_membership/src/step_down.rs
+++ b/crates/cassiahoist_membership/src/step_down.rs
@@ -26,13 +26,19 @@
         world.holding.greatest_fence = world.holding.greatest_fence.max(by);
     }
     let fence = world.holding.fence();
+    let won_at_ms = world.holding.claim_won_at_ms().unwrap_or(now_ms);
     world.holding.releasing_since_ms = None;
     world.holding.apply_event(HoldingEvent::SteppedDown);
     if fence.is_some() {
         let event =
             if cause == StepDownCause::Released { EventId::ClaimReleased } else { EventId::ClaimLost };
         let log_record = LogRecord::new(event).with("cause", format!("{cause:?}"));
-        world.log(log_record.with("fence", fence.unwrap_or_default()));
+        let renewed_at_ms = world.store_connection.lease_renewed_at_ms;
+        let log_record = log_record
+            .with("fence", fence.unwrap_or_default())
+            .with("tenure_ms", now_ms.saturating_sub(won_at_ms))
+            .with("lease_renewed_ms_ago", now_ms.saturating_sub(renewed_at_ms));
+        world.log(log_record);
         if cause == StepDownCause::Lapsed {
             world.holding.claim = None;
             world.holding.vacant_since_ms = Some(now_ms);
--- a/crates/cassiahoist_membership/src/weak_holder.rs
+++ b/crates/cassiahoist_membership/src/weak_holder.rs
@@ -24,7 +24,15 @@
 /// Releases the claim if a much stronger daemon is registered.
 pub fn transfer_to_stronger(world: &mut World, now_ms: u64) {
     let Some(successor) = find_successor(world, now_ms) else { return };
-    let log_record = LogRecord::new(EventId::HolderWeak).with("stronger", &successor.incarnation);
+    let (own, other) = (world.local.limits, successor.limits);
+    let tenure_ms = world.holding.claim_won_at_ms().map_or(0, |won_at_ms| now_ms - won_at_ms);
+    let log_record = LogRecord::new(EventId::HolderWeak)
+        .with("stronger", &successor.incarnation)
+        .with("cpu_milli", own.cpu_milli)
+        .with("link_mbps", own.link_mbps)
+        .with("stronger_cpu_milli", other.cpu_milli)
+        .with("stronger_link_mbps", other.link_mbps)
+        .with("tenure_ms", tenure_ms);
     world.log(log_record);
     world.holding.releasing_since_ms = Some(now_ms);
     world.holding.yield_until_ms = now_ms + CLAIM_DELAY_PERIOD_MS;
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -188,8 +188,12 @@
     for run in unlisted {
         let Some(row) = world.runs.rows.get(run) else { continue };
         if row.state == RunState::Running {
-            let log_record =
-                LogRecord::new(EventId::RunLost).with("task", row.name).with("run", row.run_number);
+            let log_record = LogRecord::new(EventId::RunLost)
+                .with("task", row.name)
+                .with("run", row.run_number)
+                .with("host", world.hosts.get(key).map_or("", |host| host.entry.name.as_str()))
+                .with("lists_age_ms", now_ms.saturating_sub(sent_ms))
+                .with("confirmed_ms_ago", now_ms.saturating_sub(row.confirmed_at_ms));
             world.log(log_record);
         }
         end_run(world, run, RunEnding::Lapsed, &std::sync::Arc::from(""), now_ms);
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -85,7 +85,12 @@
     world.store_writes.roster_stale = true;
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
-    world.log(log_record.with("cause", "its lease expired").with("silent_ms", unresponsive_ms));
+    let log_record = log_record
+        .with("cause", "its lease expired")
+        .with("silent_ms", unresponsive_ms)
+        .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
+        .with("lease_ended_ms_ago", now_ms.saturating_sub(host.lease_end_ms));
+    world.log(log_record);
     expire_runs(world, runs, now_ms);
 }
 
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -158,12 +158,26 @@
     run.state = if reason == StopReason::Unanswered { RunState::Unsettled } else { RunState::Stopping };
     run.next_stop_at_ms = now_ms;
     run.order_in_flight = false;
+    let percent = run.progress_percent;
+    let progressed_ms_ago = now_ms.saturating_sub(run.last_progress_at_ms.max(run.confirmed_at_ms));
     world.runs.stopping.insert(key);
     let (name, run_number, host) = (run.name, run.run_number, run.host);
     let event = if reason == StopReason::Unanswered { EventId::StartUnanswered } else { EventId::RunStopped };
-    let host_name = world.hosts.get(host).map(|host| host.entry.name.to_string()).unwrap_or_default();
     let log_record = LogRecord::new(event).with("task", name).with("run", run_number);
-    world.log(log_record.with("host", host_name).with("reason", format!("{reason:?}")));
+    let mut log_record = match world.hosts.get(host) {
+        None => log_record.with("host", ""),
+        Some(host) => log_record
+            .with("host", &host.entry.name)
+            .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms)),
+    };
+    if reason == StopReason::Stalled {
+        let lists_at_ms = world.hosts.get(host).map_or(0, |host| host.lists_received_at_ms);
+        log_record = log_record
+            .with("percent", percent)
+            .with("progressed_ms_ago", progressed_ms_ago)
+            .with("lists_age_ms", now_ms.saturating_sub(lists_at_ms));
+    }
+    world.log(log_record.with("reason", format!("{reason:?}")));
     world.counters.runs_stopped += 1;
 }
 
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -150,14 +150,22 @@
         OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => {
             if let Some(since_ms) = host.unresponsive_since_ms.take() {
                 let log_record = LogRecord::new(EventId::HostResponsive).with("host", name);
-                world.log(log_record.with("silent_ms", now_ms - since_ms));
+                let log_record = log_record.with("silent_ms", now_ms - since_ms);
+                world.log(log_record.with("order", completion.order.order.name()));
             }
         }
         OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {
             // An answer received after this order was sent shows that the host is reachable.
             if host.unresponsive_since_ms.is_none() && host.last_answer_at_ms < completion.issued_at_ms {
                 host.unresponsive_since_ms = Some(now_ms);
-                let log_record = LogRecord::new(EventId::HostUnresponsive).with("host", name);
+                let log_record = LogRecord::new(EventId::HostUnresponsive)
+                    .with("host", name)
+                    .with("order", completion.order.order.name())
+                    .with("waited_ms", completion.completed_at_ms.saturating_sub(completion.issued_at_ms))
+                    .with("queued_ms", now_ms.saturating_sub(completion.completed_at_ms))
+                    .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
+                    .with("lease_left_ms", host.lease_end_ms.saturating_sub(now_ms))
+                    .with("runs", host.runs.len());
                 world.log(match completion.outcome {
                     OrderOutcome::NotSent(cause) => {
                         log_record.with("outcome", "NotSent").with("cause", format!("{cause:?}"))
@@ -171,6 +179,7 @@
 
 fn apply_start_answer(world: &mut World, key: RunKey, completion: &OrderCompletion, now_ms: u64) {
     let (outcome, host_clock_ms) = (&completion.outcome, completion.host_clock_ms);
+    let waited_ms = completion.completed_at_ms.saturating_sub(completion.issued_at_ms);
     let Some(run) = world.runs.rows.get_mut(key) else { return };
     run.order_in_flight = false;
     let (host, task, run_number) = (run.host, run.task, run.run_number);
@@ -183,7 +192,9 @@
             run.progress_clock_ms = run.progress_clock_ms.max(host_clock_ms.unwrap_or_default());
         }
         OrderOutcome::Unknown => stop_run(world, key, StopReason::Unanswered, now_ms),
-        OrderOutcome::NotSent(cause) => undo_start(world, key, UnstartedCause::NotSent(*cause), now_ms),
+        OrderOutcome::NotSent(cause) => {
+            undo_start(world, key, UnstartedCause::NotSent(*cause), waited_ms, now_ms);
+        }
         OrderOutcome::Refused(reason) => {
             match reason {
                 RefusalReason::Late => {
@@ -195,7 +206,7 @@
                 RefusalReason::Ticket => expire_ticket(world, key),
                 _ => {}
             }
-            undo_start(world, key, UnstartedCause::Refused(*reason), now_ms);
+            undo_start(world, key, UnstartedCause::Refused(*reason), waited_ms, now_ms);
         }
     }
     if !matches!(outcome, OrderOutcome::Done { .. }) {
@@ -223,11 +234,11 @@
 }
 
 /// Removes a run that never began and requeues its task.
-fn undo_start(world: &mut World, key: RunKey, cause: UnstartedCause, now_ms: u64) {
+fn undo_start(world: &mut World, key: RunKey, cause: UnstartedCause, waited_ms: u64, now_ms: u64) {
     let Some(run) = drop_run(world, key) else { return };
     let host = world.hosts.get(run.host).map(|host| host.entry.name.to_string()).unwrap_or_default();
     let log_record = LogRecord::new(EventId::StartRefused).with("task", run.name).with("run", run.run_number);
-    let log_record = log_record.with("host", host);
+    let log_record = log_record.with("host", host).with("waited_ms", waited_ms);
     let (log_record, retry_ms) = match cause {
         UnstartedCause::Refused(reason) => {
             world.counters.starts_refused += 1;
