Count connections from peers and show the limit of descriptors

What was missing: the connections that peers open take descriptors too, and no metric showed them, nor the limit that all uses share.

Change: the peer server counts accepted connections until they close. DaemonLoad and /metrics show descriptors_limit.

Evidence: connections_of_peers_count_at_both_ends; server_waits_for_a_free_descriptor_without_spinning passes unchanged.

--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -140,7 +140,7 @@
     caller_stop: watch::Receiver<bool>,
 ) -> Result<(Dispatcher<SitePlatform>, TableMetrics), HoistError> {
     let control = ControlLink::new(sender);
-    let meter = TrafficMeter::new();
+    let meter = TrafficMeter::new().with_descriptors_limit(settings.daemon.max_descriptors);
     let peers = PeerLinks::new(PeerSender {
         incarnation: incarnation.clone(),
         address: settings.listen.peers.to_string(),
@@ -158,7 +158,8 @@
     drop(runtime.spawn(caller_server.serve(bind(runtime, settings.listen.callers)?, caller_stop)));
     drop(runtime.spawn(operator_server.clone().serve(bind(runtime, settings.listen.readiness)?)));
     drop(runtime.spawn(operator_server.serve(bind(runtime, settings.listen.operators)?)));
-    drop(runtime.spawn(PeerEndpoint::new(control.clone()).serve(bind(runtime, settings.listen.peers)?)));
+    let peer_endpoint = PeerEndpoint::new(control.clone()).with_meter(meter.clone());
+    drop(runtime.spawn(peer_endpoint.serve(bind(runtime, settings.listen.peers)?)));
     drop(runtime.spawn(stop_on_signals(control.clone(), log.clone())));
     let advice_address = settings.platform.advice.map(|address| address.to_string());
     let dispatcher = Dispatcher {
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -98,7 +98,7 @@
     }),
 ];
 
-const GAUGES: [(&str, &str, ReadValue); 32] = [
+const GAUGES: [(&str, &str, ReadValue); 33] = [
     ("cassiahoist_calls_open", "Calls in progress", |w| w.calls.open.len() as u64),
     ("cassiahoist_jobs_open", "Jobs in this daemon's tables", |w| w.jobs.len() as u64),
     ("cassiahoist_runs_open", "Runs that occupy resources", |w| w.runs.rows.len() as u64),
@@ -130,13 +130,18 @@
     ("cassiahoist_caller_connections_open", "Open connections of callers", |w| {
         w.load.traffic.connections.callers
     }),
-    ("cassiahoist_peer_connections_open", "Open connections to peers", |w| w.load.traffic.connections.peers),
+    ("cassiahoist_peer_connections_open", "Open connections to and from peers", |w| {
+        w.load.traffic.connections.peers
+    }),
     ("cassiahoist_store_connections_open", "Open connections to the store", |w| {
         w.load.traffic.connections.store
     }),
     ("cassiahoist_advice_connections_open", "Open connections to the advice service", |w| {
         w.load.traffic.connections.advice
     }),
+    ("cassiahoist_descriptors_limit", "Descriptors that the process may open", |w| {
+        w.load.traffic.connections.descriptors_limit
+    }),
     ("cassiahoist_open_bytes", "Bytes of requests without an answer so far", |w| w.load.traffic.open_bytes),
     ("cassiahoist_longest_gap_ms", "Longest time between ticks in the last second", |w| {
         w.load.daemon.longest_gap_ms
--- a/crates/cassiahoist_daemon/tests/metrics.rs
+++ b/crates/cassiahoist_daemon/tests/metrics.rs
@@ -44,6 +44,7 @@
     traffic.connections.peers = 146;
     traffic.connections.store = 3;
     traffic.connections.advice = 2;
+    traffic.connections.descriptors_limit = 4_100;
     traffic.open_bytes = 900_000;
     traffic.received_bytes = 5_000;
     for kind in TrafficKind::ALL {
@@ -60,6 +61,7 @@
         ("peer_connections_open", 146),
         ("store_connections_open", 3),
         ("advice_connections_open", 2),
+        ("descriptors_limit", 4_100),
         ("open_bytes", 900_000),
         ("received_bytes", 5_000),
         ("sent_bytes_starts", 100),
--- a/crates/cassiahoist_standins/tests/systems/load.rs
+++ b/crates/cassiahoist_standins/tests/systems/load.rs
@@ -171,8 +171,15 @@
     let mut daemon = TestDaemon::standby();
     daemon_loads_for(&mut daemon, 1_000, 100);
     let traffic = &mut daemon.app.world_mut().load.traffic;
-    traffic.connections =
-        OpenConnections { hosts: 2_700, hosts_limit: 2_829, callers: 40, peers: 146, store: 3, advice: 2 };
+    traffic.connections = OpenConnections {
+        hosts: 2_700,
+        hosts_limit: 2_829,
+        callers: 40,
+        peers: 146,
+        store: 3,
+        advice: 2,
+        descriptors_limit: 4_100,
+    };
     traffic.sent_bytes[TrafficKind::Starts as usize] = 1_700_000;
     traffic.sent_bytes[TrafficKind::Peers as usize] = 60_000;
     traffic.received_bytes = 400_000;
@@ -187,6 +194,7 @@
         ("peer_connections", 146),
         ("store_connections", 3),
         ("advice_connections", 2),
+        ("descriptors_limit", 4_100),
         ("starts_bytes", 1_700_000),
         ("polls_bytes", 0),
         ("peers_bytes", 60_000),
--- a/crates/cassiahoist_traffic/src/dispatcher.rs
+++ b/crates/cassiahoist_traffic/src/dispatcher.rs
@@ -50,7 +50,7 @@
         let connections = OpenConnections {
             hosts: self.hosts.open_connections() as u64,
             hosts_limit: self.hosts.max_open_connections() as u64,
-            peers: self.peers.open_connections() as u64,
+            peers: totals.connections.peers + self.peers.open_connections() as u64,
             store: self.store.open_connections() as u64,
             advice: self.advice.open_connections() as u64,
             ..totals.connections
--- a/crates/cassiahoist_traffic/src/peer_server.rs
+++ b/crates/cassiahoist_traffic/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! gRPC server for messages of peers.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -9,14 +9,16 @@
 use cassiahoist_wire::peer_server::{Peer, PeerServer};
 use cassiahoist_wire::{DeliverReply, DeliverRequest};
 use cassiahoist_world::event::Event;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Sleep;
 use tonic::codegen::tokio_stream::Stream;
-use tonic::transport::server::TcpIncoming;
+use tonic::transport::server::{Connected, TcpIncoming};
 use tonic::{Request, Response, Status};
 
 use crate::caller_server::ACCEPT_RETRY_DELAY;
 use crate::control_link::ControlLink;
+use crate::traffic_meter::{OpenAmount, TrafficMeter};
 
 /// Largest delivery of a peer, in bytes.
 const MAX_DELIVERY_BYTES: usize = 4 << 20;
@@ -25,13 +27,20 @@
 #[derive(Clone, Debug)]
 pub struct PeerEndpoint {
     control: ControlLink,
+    meter: TrafficMeter,
 }
 
 impl PeerEndpoint {
     /// Creates an endpoint that forwards messages to `control`.
     #[must_use]
     pub fn new(control: ControlLink) -> Self {
-        Self { control }
+        Self { control, meter: TrafficMeter::new() }
+    }
+
+    /// Sets the meter that counts the connections.
+    #[must_use]
+    pub fn with_meter(self, meter: TrafficMeter) -> Self {
+        Self { meter, ..self }
     }
 
     /// Serves peers until the process ends.
@@ -39,7 +48,7 @@
     /// # Errors
     /// Returns [`HoistError::Unreachable`] if the server fails.
     pub async fn serve(self, listener: TcpListener) -> Result<(), HoistError> {
-        let incoming = PeerConnections::new(listener);
+        let incoming = PeerConnections::new(listener, self.meter.clone());
         let server = PeerServer::new(self).max_decoding_message_size(MAX_DELIVERY_BYTES);
         let served =
             tonic::transport::Server::builder().add_service(server).serve_with_incoming(incoming).await;
@@ -55,16 +64,68 @@
     incoming: TcpIncoming,
     /// The pause in progress; `None` while connections are accepted.
     pause: Option<Pin<Box<Sleep>>>,
+    meter: TrafficMeter,
 }
 
 impl PeerConnections {
-    fn new(listener: TcpListener) -> Self {
-        Self { incoming: TcpIncoming::from(listener).with_nodelay(Some(true)), pause: None }
+    fn new(listener: TcpListener, meter: TrafficMeter) -> Self {
+        Self { incoming: TcpIncoming::from(listener).with_nodelay(Some(true)), pause: None, meter }
+    }
+}
+
+/// A connection that is counted as long as it is open.
+#[derive(Debug)]
+struct CountedConnection {
+    stream: TcpStream,
+    _open: OpenAmount,
+}
+
+impl Connected for CountedConnection {
+    type ConnectInfo = <TcpStream as Connected>::ConnectInfo;
+
+    fn connect_info(&self) -> Self::ConnectInfo {
+        self.stream.connect_info()
+    }
+}
+
+impl AsyncRead for CountedConnection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountedConnection {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
     }
 }
 
 impl Stream for PeerConnections {
-    type Item = io::Result<TcpStream>;
+    type Item = io::Result<CountedConnection>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         loop {
@@ -76,7 +137,11 @@
                 Some(Err(_not_accepted)) => {
                     self.pause = Some(Box::pin(tokio::time::sleep(ACCEPT_RETRY_DELAY)));
                 }
-                accepted => return Poll::Ready(accepted),
+                Some(Ok(stream)) => {
+                    let connection = CountedConnection { stream, _open: self.meter.open_peer_connection() };
+                    return Poll::Ready(Some(Ok(connection)));
+                }
+                None => return Poll::Ready(None),
             }
         }
     }
--- a/crates/cassiahoist_traffic/src/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/src/traffic_meter.rs
@@ -22,12 +22,14 @@
     open_bytes: AtomicU64,
     unsent: [AtomicU64; UnsentCause::ALL.len()],
     caller_connections: AtomicU64,
+    accepted_peer_connections: AtomicU64,
 }
 
 /// Counts the traffic of this daemon; clones share the counts.
 #[derive(Clone, Debug, Default)]
 pub struct TrafficMeter {
     totals: Arc<Totals>,
+    descriptors_limit: u64,
 }
 
 /// Amount that is counted as long as this value lives.
@@ -51,6 +53,12 @@
         Self::default()
     }
 
+    /// Sets the number of descriptors that the process may open, which is shown beside the connections.
+    #[must_use]
+    pub fn with_descriptors_limit(self, descriptors_limit: usize) -> Self {
+        Self { descriptors_limit: descriptors_limit as u64, ..self }
+    }
+
     /// Runs an exchange, and counts its request while it is open and its result.
     pub async fn measure(
         &self,
@@ -86,12 +94,18 @@
         self.count_open(|totals| &totals.caller_connections, 1)
     }
 
+    /// Counts a connection that a peer opened until the returned value is dropped.
+    #[must_use]
+    pub fn open_peer_connection(&self) -> OpenAmount {
+        self.count_open(|totals| &totals.accepted_peer_connections, 1)
+    }
+
     fn count_open(&self, cell: fn(&Totals) -> &AtomicU64, amount: u64) -> OpenAmount {
         cell(&self.totals).fetch_add(amount, Ordering::Relaxed);
         OpenAmount { totals: Arc::clone(&self.totals), cell, amount }
     }
 
-    /// Returns the counts so far. Only the connections of callers are filled in.
+    /// Returns the counts so far. Of the connections it has only those that callers and peers opened.
     #[must_use]
     pub fn totals(&self) -> TrafficTotals {
         let totals = &self.totals;
@@ -103,6 +117,8 @@
             unsent: std::array::from_fn(|cause| read(&totals.unsent[cause])),
             connections: OpenConnections {
                 callers: read(&totals.caller_connections),
+                peers: read(&totals.accepted_peer_connections),
+                descriptors_limit: self.descriptors_limit,
                 ..OpenConnections::default()
             },
         }
--- a/crates/cassiahoist_traffic/tests/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/tests/traffic_meter.rs
@@ -1,12 +1,21 @@
 //! Counts of connections, bytes and requests that were not sent.
 
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
 use bytes::Bytes;
+use cassiahoist_core::prelude::*;
+use cassiahoist_traffic::control_link::ControlLink;
 use cassiahoist_traffic::http_client::Exchange;
+use cassiahoist_traffic::peer_links::PeerLinks;
+use cassiahoist_traffic::peer_server::PeerEndpoint;
 use cassiahoist_traffic::traffic_meter::{TrafficMeter, request_bytes};
+use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::traffic::TrafficKind;
 use cassiahoist_world::unsent::UnsentCause;
 use http_body_util::Full;
 use hyper::{Request, Response};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
 fn response(body: &'static str) -> Exchange {
@@ -89,3 +98,23 @@
         Request::post("/v1/start").header("name", "value").body(Full::new(Bytes::from_static(b"body")));
     assert_eq!(request_bytes(&request.unwrap()), (9 + 4 + 5 + 4 + 4) as u64);
 }
+
+/// A daemon has as many connections from its peers as to them, and both take descriptors.
+#[tokio::test]
+async fn connections_of_peers_count_at_both_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (sender, inputs) = sync_channel(8);
+    let (accepting, connecting) = (TrafficMeter::new(), TrafficMeter::new());
+    let endpoint = PeerEndpoint::new(ControlLink::new(sender)).with_meter(accepting.clone());
+    drop(tokio::spawn(endpoint.serve(listener)));
+    let local = PeerSender { incarnation: "edge-0#1".parse().unwrap(), address: "127.0.0.1:1".into() };
+    let links = PeerLinks::new(local).with_meter(connecting.clone());
+    assert_eq!(links.open_connections(), 0);
+    links.send(&address, PeerMessage::JobCancelled(JobId(1)));
+    let input = tokio::task::spawn_blocking(move || inputs.recv_timeout(Duration::from_secs(10)));
+    input.await.unwrap().unwrap();
+    assert_eq!(accepting.totals().connections.peers, 1);
+    assert_eq!(links.open_connections(), 1);
+    assert!(connecting.totals().sent_bytes[TrafficKind::Peers as usize] > 0);
+}
--- a/crates/cassiahoist_world/src/load.rs
+++ b/crates/cassiahoist_world/src/load.rs
@@ -209,6 +209,7 @@
             ("store_calls_failed", self.store_calls_failed),
         ];
         let connections = [
+            ("descriptors_limit", self.connections.descriptors_limit),
             ("host_connections", self.connections.hosts),
             ("host_connections_limit", self.connections.hosts_limit),
             ("caller_connections", self.connections.callers),
--- a/crates/cassiahoist_world/src/traffic.rs
+++ b/crates/cassiahoist_world/src/traffic.rs
@@ -29,7 +29,7 @@
 
 /// Open connections by what they are for.
 ///
-/// Those that are being opened or closed count too. Connections that peers opened are not counted.
+/// Those that are being opened or closed count too.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OpenConnections {
     /// Connections to hosts.
@@ -38,12 +38,14 @@
     pub hosts_limit: u64,
     /// Connections of callers.
     pub callers: u64,
-    /// Connections to peers.
+    /// Connections to and from peers.
     pub peers: u64,
     /// Connections to the store.
     pub store: u64,
     /// Connections to the advice service.
     pub advice: u64,
+    /// Descriptors that the process may open, for connections and all else.
+    pub descriptors_limit: u64,
 }
 
 /// Totals since the start of the daemon, and what is open now.
