Count connections not accepted, calls without a place and lost messages to peers

What was missing: a server without a free descriptor, a call that found the control thread's queue full, and a heartbeat that was dropped or not delivered left neither line nor count. The second can't be logged by the thread that is too busy.

Change: the meter counts them; DaemonLoad and /metrics show them, and the first two make a standby log its load at once.

Evidence: the test of a server without descriptors now also demands the count; call_that_finds_the_queue_full_is_counted, messages_that_a_peer_does_not_take_are_counted, page_shows_what_the_traffic_uses.

--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -22,7 +22,7 @@
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 39] = [
+const COUNTERS: [(&str, &str, ReadValue); 42] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
@@ -72,6 +72,15 @@
     ("cassiahoist_sent_bytes_callers", "Bytes sent for answers to callers", |w| {
         sent_bytes(w, TrafficKind::Callers)
     }),
+    ("cassiahoist_accepts_failed", "Connections that could not be accepted", |w| {
+        w.load.traffic.accepts_failed
+    }),
+    ("cassiahoist_calls_unqueued", "Calls refused since the control thread's queue was full", |w| {
+        w.load.traffic.calls_unqueued
+    }),
+    ("cassiahoist_peer_messages_lost", "Messages to peers that were dropped or not delivered", |w| {
+        w.load.traffic.peer_messages_lost
+    }),
     ("cassiahoist_received_bytes", "Bytes of answers to requests", |w| w.load.traffic.received_bytes),
     ("cassiahoist_unsent_no_free_connection", "Requests not sent: no connection became free", |w| {
         unsent(w, UnsentCause::NoFreeConnection)
--- a/crates/cassiahoist_daemon/tests/metrics.rs
+++ b/crates/cassiahoist_daemon/tests/metrics.rs
@@ -47,6 +47,9 @@
     traffic.connections.descriptors_limit = 4_100;
     traffic.open_bytes = 900_000;
     traffic.received_bytes = 5_000;
+    traffic.accepts_failed = 7;
+    traffic.calls_unqueued = 8;
+    traffic.peer_messages_lost = 9;
     for kind in TrafficKind::ALL {
         traffic.sent_bytes[kind as usize] = 100 + kind as u64;
     }
@@ -64,6 +67,9 @@
         ("descriptors_limit", 4_100),
         ("open_bytes", 900_000),
         ("received_bytes", 5_000),
+        ("accepts_failed", 7),
+        ("calls_unqueued", 8),
+        ("peer_messages_lost", 9),
         ("sent_bytes_starts", 100),
         ("sent_bytes_polls", 101),
         ("sent_bytes_other_orders", 102),
--- a/crates/cassiahoist_standins/tests/systems/load.rs
+++ b/crates/cassiahoist_standins/tests/systems/load.rs
@@ -183,6 +183,9 @@
     traffic.sent_bytes[TrafficKind::Starts as usize] = 1_700_000;
     traffic.sent_bytes[TrafficKind::Peers as usize] = 60_000;
     traffic.received_bytes = 400_000;
+    traffic.accepts_failed = 5;
+    traffic.calls_unqueued = 6;
+    traffic.peer_messages_lost = 7;
     traffic.open_bytes = 900_000;
     traffic.unsent[UnsentCause::LocalResources as usize] = 12;
     let loads = daemon_loads_for(&mut daemon, 1_000, 100);
@@ -199,6 +202,9 @@
         ("polls_bytes", 0),
         ("peers_bytes", 60_000),
         ("received_bytes", 400_000),
+        ("accepts_failed", 5),
+        ("calls_unqueued", 6),
+        ("peer_messages_lost", 7),
         ("open_bytes", 900_000),
         ("unsent_local_resources", 12),
         ("unsent_connect_failed", 0),
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -61,6 +61,7 @@
                 _ = stop.wait_for(|&stop| stop) => break,
             };
             let Ok((stream, _)) = accepted else {
+                self.meter.count_failed_accept();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
@@ -120,6 +121,7 @@
         let pending = self.control.register_call();
         call.number = pending.number;
         if !self.control.try_send(Event::CallReceived(call)) {
+            self.meter.count_unqueued_call();
             return CallAnswer::Error { kind: ErrorKind::Overloaded, retry_after_ms: Some(1_000) };
         }
         // Without an answer, a submitted job may have been stored.
--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -69,7 +69,9 @@
     pub fn send(&self, address: &str, message: PeerMessage) {
         if let Some(queue) = self.get_or_open_queue(address) {
             // If the queue is full, the message is dropped; the peer reads the same from the store later.
-            let _dropped = queue.try_send(message);
+            if queue.try_send(message).is_err() {
+                self.meter.count_lost_messages(1);
+            }
         }
     }
 
@@ -121,7 +123,10 @@
         if !matches!(delivered, Ok(Ok(_))) {
             // The connection may be dead, so retry once on a new one. Messages may arrive twice; receivers handle that.
             client = connect_client(&endpoint);
-            let _outcome = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
+            let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
+            if !matches!(delivered, Ok(Ok(_))) {
+                meter.count_lost_messages(batch.len() as u64);
+            }
         }
         batch.clear();
     }
--- a/crates/cassiahoist_traffic/src/peer_server.rs
+++ b/crates/cassiahoist_traffic/src/peer_server.rs
@@ -135,6 +135,7 @@
             }
             match ready!(Pin::new(&mut self.incoming).poll_next(cx)) {
                 Some(Err(_not_accepted)) => {
+                    self.meter.count_failed_accept();
                     self.pause = Some(Box::pin(tokio::time::sleep(ACCEPT_RETRY_DELAY)));
                 }
                 Some(Ok(stream)) => {
--- a/crates/cassiahoist_traffic/src/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/src/traffic_meter.rs
@@ -23,6 +23,9 @@
     unsent: [AtomicU64; UnsentCause::ALL.len()],
     caller_connections: AtomicU64,
     accepted_peer_connections: AtomicU64,
+    accepts_failed: AtomicU64,
+    calls_unqueued: AtomicU64,
+    peer_messages_lost: AtomicU64,
 }
 
 /// Counts the traffic of this daemon; clones share the counts.
@@ -88,6 +91,21 @@
         self.totals.sent_bytes[kind as usize].fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Counts a connection that could not be accepted.
+    pub fn count_failed_accept(&self) {
+        self.totals.accepts_failed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call that the control thread's queue had no room for.
+    pub fn count_unqueued_call(&self) {
+        self.totals.calls_unqueued.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts messages to a peer that were dropped or not delivered.
+    pub fn count_lost_messages(&self, messages: u64) {
+        self.totals.peer_messages_lost.fetch_add(messages, Ordering::Relaxed);
+    }
+
     /// Counts a connection of a caller until the returned value is dropped.
     #[must_use]
     pub fn open_caller_connection(&self) -> OpenAmount {
@@ -115,6 +133,9 @@
             received_bytes: read(&totals.received_bytes),
             open_bytes: read(&totals.open_bytes),
             unsent: std::array::from_fn(|cause| read(&totals.unsent[cause])),
+            accepts_failed: read(&totals.accepts_failed),
+            calls_unqueued: read(&totals.calls_unqueued),
+            peer_messages_lost: read(&totals.peer_messages_lost),
             connections: OpenConnections {
                 callers: read(&totals.caller_connections),
                 peers: read(&totals.accepted_peer_connections),
--- a/crates/cassiahoist_traffic/tests/peer_server.rs
+++ b/crates/cassiahoist_traffic/tests/peer_server.rs
@@ -9,6 +9,7 @@
 use cassiahoist_traffic::control_link::{ControlInput, ControlLink};
 use cassiahoist_traffic::peer_links::PeerLinks;
 use cassiahoist_traffic::peer_server::PeerEndpoint;
+use cassiahoist_traffic::traffic_meter::TrafficMeter;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use nix::sys::resource::{Resource, UsageWho, getrlimit, getrusage, setrlimit};
@@ -35,7 +36,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let (sender, inputs) = sync_channel(8);
-    drop(tokio::spawn(PeerEndpoint::new(ControlLink::new(sender)).serve(listener)));
+    let meter = TrafficMeter::new();
+    let endpoint = PeerEndpoint::new(ControlLink::new(sender)).with_meter(meter.clone());
+    drop(tokio::spawn(endpoint.serve(listener)));
     let (_, hard_limit) = getrlimit(Resource::RLIMIT_NOFILE).unwrap();
     setrlimit(Resource::RLIMIT_NOFILE, MAX_DESCRIPTORS, hard_limit).unwrap();
     let mut files: Vec<File> = std::iter::from_fn(|| File::open("/dev/null").ok()).collect();
@@ -46,6 +49,7 @@
     tokio::time::sleep(EXHAUSTED_TIME).await;
     let used_ms = processor_ms() - used_before_ms;
     assert!(used_ms < EXHAUSTED_TIME.as_millis() as i64 / 4, "{used_ms} ms of processor time");
+    assert!(meter.totals().accepts_failed > 0, "a connection that could not be accepted is counted");
     drop((files, waiting_peer));
     let local = PeerSender { incarnation: "edge-0#1".parse().unwrap(), address: "127.0.0.1:1".into() };
     PeerLinks::new(local).send(&address, PeerMessage::JobCancelled(JobId(1)));
--- a/crates/cassiahoist_traffic/tests/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/tests/traffic_meter.rs
@@ -5,18 +5,23 @@
 
 use bytes::Bytes;
 use cassiahoist_core::prelude::*;
+use cassiahoist_traffic::caller_server::CallerServer;
+use cassiahoist_traffic::clock::MonotonicClock;
 use cassiahoist_traffic::control_link::ControlLink;
-use cassiahoist_traffic::http_client::Exchange;
+use cassiahoist_traffic::http_client::{Exchange, HttpClient};
 use cassiahoist_traffic::peer_links::PeerLinks;
 use cassiahoist_traffic::peer_server::PeerEndpoint;
+use cassiahoist_traffic::protocol::{CallerProtocol, DecodedCall, FullResponse};
 use cassiahoist_traffic::traffic_meter::{TrafficMeter, request_bytes};
+use cassiahoist_world::calls::{CallAction, CallAnswer};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::traffic::TrafficKind;
 use cassiahoist_world::unsent::UnsentCause;
 use http_body_util::Full;
+use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 fn response(body: &'static str) -> Exchange {
     Exchange::Response(Response::new(Bytes::from_static(body.as_bytes())))
@@ -118,3 +123,59 @@
     assert_eq!(links.open_connections(), 1);
     assert!(connecting.totals().sent_bytes[TrafficKind::Peers as usize] > 0);
 }
+
+/// Heartbeats that don't arrive make other daemons refuse calls, so the holder counts them.
+#[tokio::test]
+async fn messages_that_a_peer_does_not_take_are_counted() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let meter = TrafficMeter::new();
+    let local = PeerSender { incarnation: "edge-0#1".parse().unwrap(), address: "127.0.0.1:1".into() };
+    PeerLinks::new(local).with_meter(meter.clone()).send(&address, PeerMessage::JobCancelled(JobId(1)));
+    let is_counted = async {
+        while meter.totals().peer_messages_lost == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), is_counted).await.unwrap();
+    assert_eq!(meter.totals().peer_messages_lost, 1);
+}
+
+/// A protocol of queries with empty answers.
+#[derive(Clone, Copy, Debug)]
+struct EmptyCalls;
+
+impl CallerProtocol for EmptyCalls {
+    fn decode_call(&self, head: &Parts, _body: &[u8]) -> Option<DecodedCall> {
+        let path = head.uri.path().to_owned();
+        Some(DecodedCall { host_name: "host".into(), path, action: CallAction::Query, timeout_ms: None })
+    }
+
+    fn encode_answer(&self, _answer: CallAnswer) -> FullResponse {
+        Response::new(Full::new(Bytes::from_static(b"overloaded")))
+    }
+}
+
+/// The control thread is too busy to take calls, so it can't log that they are refused.
+#[tokio::test]
+async fn call_that_finds_the_queue_full_is_counted() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    // A queue without any place.
+    let (sender, _inputs) = sync_channel(0);
+    let (meter, (_stop_sender, stop)) = (TrafficMeter::new(), watch::channel(false));
+    let server = CallerServer {
+        protocol: EmptyCalls,
+        clock: MonotonicClock::new(),
+        control: ControlLink::new(sender),
+        meter: meter.clone(),
+    };
+    drop(tokio::spawn(server.serve(listener, stop)));
+    let request = Request::get("/").header("host", "host").body(Full::default()).unwrap();
+    let exchange = HttpClient::new().exchange(&address, request, Duration::from_secs(10)).await;
+    assert!(matches!(exchange, Exchange::Response(_)), "{exchange:?}");
+    let totals = meter.totals();
+    assert_eq!((totals.calls_unqueued, totals.connections.callers), (1, 1));
+    assert!(totals.sent_bytes[TrafficKind::Callers as usize] >= 10);
+}
--- a/crates/cassiahoist_world/src/load.rs
+++ b/crates/cassiahoist_world/src/load.rs
@@ -143,6 +143,12 @@
     pub store_calls_failed: u64,
     /// Requests to hosts, store and advice service that were not sent, by cause.
     pub unsent: [u64; UnsentCause::ALL.len()],
+    /// Connections that could not be accepted.
+    pub accepts_failed: u64,
+    /// Calls that were refused at once, since the control thread's queue was full.
+    pub calls_unqueued: u64,
+    /// Messages to peers that were dropped or not delivered.
+    pub peer_messages_lost: u64,
     /// Connections at the end of the period.
     pub connections: OpenConnections,
     /// Bytes sent, by kind.
@@ -207,6 +213,9 @@
             ("orders_unsent", self.orders_unsent),
             ("store_calls_unsent", self.store_calls_unsent),
             ("store_calls_failed", self.store_calls_failed),
+            ("accepts_failed", self.accepts_failed),
+            ("calls_unqueued", self.calls_unqueued),
+            ("peer_messages_lost", self.peer_messages_lost),
         ];
         let connections = [
             ("descriptors_limit", self.connections.descriptors_limit),
@@ -240,6 +249,8 @@
         unsent_locally
             || self.orders_unsent > 0
             || self.store_calls_unsent > 0
+            || self.accepts_failed > 0
+            || self.calls_unqueued > 0
             || self.log_lines_dropped > 0
             || self.longest_late_ms >= LATE_TICK_MS
     }
--- a/crates/cassiahoist_world/src/traffic.rs
+++ b/crates/cassiahoist_world/src/traffic.rs
@@ -59,6 +59,12 @@
     pub open_bytes: u64,
     /// Requests that were certainly not sent, by cause.
     pub unsent: [u64; UnsentCause::ALL.len()],
+    /// Connections that could not be accepted, for lack of descriptors or memory.
+    pub accepts_failed: u64,
+    /// Calls that were refused at once, since the control thread's queue was full.
+    pub calls_unqueued: u64,
+    /// Messages to peers that were dropped or not delivered.
+    pub peer_messages_lost: u64,
     /// Open connections.
     pub connections: OpenConnections,
 }
