Log the holder's silence before the refusals that it causes

A line for which the buffer had too little room was still encoded as long as some bytes were free, so that a dropped line cost as much as a written one.

Change: the silence is detected before calls are admitted; heartbeat_ms_ago is "never" without a heartbeat; less than 512 bytes of room count as none.

--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -198,13 +198,15 @@
 /// last said.
 fn build_refusal_record(world: &World, kind: ErrorKind, reason: &str, now_ms: u64) -> LogRecord {
     let version = world.config.current.as_ref().map_or(0, |config| config.version);
-    let heartbeat_at_ms = world.calls.holder_status.as_ref().map_or(0, |status| status.received_at_ms);
+    let heartbeat_at_ms = world.calls.holder_status.as_ref().map(|status| status.received_at_ms);
+    let heartbeat_ms_ago =
+        heartbeat_at_ms.map_or("never".into(), |at_ms| now_ms.saturating_sub(at_ms).to_string());
     LogRecord::new(EventId::CallRefused)
         .with("kind", format!("{kind:?}"))
         .with("reason", reason)
         .with("config_version", version)
         .with("store_answered_ms_ago", now_ms.saturating_sub(world.store_connection.last_answer_at_ms))
-        .with("heartbeat_ms_ago", now_ms.saturating_sub(heartbeat_at_ms))
+        .with("heartbeat_ms_ago", heartbeat_ms_ago)
 }
 
 /// Answers an open call with an error and logs the refusal.
--- a/crates/cassiahoist_jobs/src/lib.rs
+++ b/crates/cassiahoist_jobs/src/lib.rs
@@ -28,6 +28,7 @@
         app.add_system(TickSet::Calls, job_updates::load_jobs)
             .add_system(TickSet::Calls, job_updates::apply_notices)
             .add_system(TickSet::Calls, calls::drop_disconnected_callers)
+            .add_system(TickSet::Calls, heartbeat::detect_silent_holder)
             .add_system(TickSet::Calls, calls::admit_calls)
             .add_system(TickSet::Calls, relay::process_relay_messages)
             .add_system(TickSet::Calls, accept::apply_accept_answers)
@@ -41,7 +42,6 @@
             .add_system(TickSet::StoreWrites, progress::apply_progress_answers)
             .add_system(TickSet::StoreWrites, progress::record_progress)
             .add_system(TickSet::StoreWrites, job_removal::remove_old_jobs)
-            .add_system(TickSet::Outgoing, heartbeat::detect_silent_holder)
             .add_system(TickSet::Outgoing, heartbeat::send_heartbeat);
     }
 }
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -186,7 +186,8 @@
     let (holding, own) = (&world.holding, &world.local.incarnation);
     let left_out = holding.last_holder.as_ref().filter(|holder| **holder != *own);
     let stronger_members = world.members.claim_rank(&own.member, world.local.limits, left_out);
-    let ms_ago = |at_ms: Option<u64>| at_ms.map_or("never".into(), |at_ms| (now_ms - at_ms).to_string());
+    let ms_ago =
+        |at_ms: Option<u64>| at_ms.map_or("never".into(), |at_ms| now_ms.saturating_sub(at_ms).to_string());
     let heartbeat_at_ms = world.calls.holder_status.as_ref().map(|status| status.received_at_ms);
     let last_holder = holding.last_holder.as_ref().map_or("none".into(), Incarnation::to_string);
     log_record
--- a/crates/cassiahoist_standins/tests/systems/decision_lines.rs
+++ b/crates/cassiahoist_standins/tests/systems/decision_lines.rs
@@ -1,7 +1,8 @@
 //! Log lines of decisions about the store, the holder and hosts: their inputs, the age of these, and the outcome.
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::effect::LogRecord;
+use cassiahoist_world::calls::{CallAction, CallRequest};
+use cassiahoist_world::effect::{Effect, LogRecord};
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{Order, OrderOutcome};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
@@ -232,6 +233,44 @@
     assert!(log_records(&daemon.effects, EventId::HolderHeard).is_empty());
 }
 
+/// Creates a caller's query, which is refused since no configuration is known.
+fn query(now_ms: u64) -> Event {
+    Event::CallReceived(CallRequest {
+        number: 1,
+        host_name: "host".into(),
+        path: "/".into(),
+        action: CallAction::Query,
+        body_bytes: 0,
+        deadline_ms: now_ms + 5_000,
+    })
+}
+
+/// The line that says why a call was refused must not come before the one that says since when the holder is silent.
+#[test]
+fn silence_of_the_holder_is_logged_before_the_calls_that_it_makes_fail() {
+    let mut daemon = TestDaemon::standby();
+    daemon.receive_event(heartbeat());
+    daemon.app.push_event(query(daemon.now_ms));
+    daemon.tick(2_000);
+    let position = |event: EventId| {
+        daemon
+            .effects
+            .iter()
+            .position(|effect| matches!(effect, Effect::WriteLog(log_record) if log_record.event == event))
+    };
+    assert!(position(EventId::HolderSilent).unwrap() < position(EventId::CallRefused).unwrap());
+    let refused = only_record(&daemon, EventId::CallRefused);
+    assert_eq!(field(&refused, "heartbeat_ms_ago"), "2000");
+}
+
+#[test]
+fn refused_call_of_a_daemon_without_any_heartbeat_says_so() {
+    let mut daemon = TestDaemon::standby();
+    let now_ms = daemon.now_ms;
+    daemon.receive_event(query(now_ms));
+    assert_eq!(field(&only_record(&daemon, EventId::CallRefused), "heartbeat_ms_ago"), "never");
+}
+
 fn member_item(name: &str, cpu_milli: u32) -> StoreItem {
     let record = MemberRecord {
         incarnation: format!("{name}#1").parse().unwrap(),
--- a/crates/cassiahoist_telemetry/src/line_buffer.rs
+++ b/crates/cassiahoist_telemetry/src/line_buffer.rs
@@ -20,6 +20,9 @@
 /// Buffered bytes from which lines about hosts are dropped. Those about the daemon itself use the whole buffer.
 const MAX_BYTES_FOR_HOSTS: usize = 320 * 1024;
 
+/// Room below which a line is dropped without an attempt to encode it.
+const MIN_ROOM_BYTES: usize = 512;
+
 /// Time for which lines are collected before they are written.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -137,7 +140,7 @@
     /// A line that is dropped need not be encoded.
     pub(crate) fn has_room_or_drop(&self, event: EventId) -> bool {
         let mut pending = self.lock();
-        let has_room = pending.batch.text.len() < max_bytes_for(event);
+        let has_room = pending.batch.text.len() + MIN_ROOM_BYTES <= max_bytes_for(event);
         if !has_room {
             pending.count_dropped(no_room_cause(event), event);
         }
