Shut out orders from before a host's restart

Cause: orders name the host, and a host that starts again under its name has seen no fencing token. A poll that left before the holder knew of the restart took effect seconds later. Its number of recorded ends counted those of the earlier incarnation, so the new one dropped ends that no store held. The header that names the intended instance can't help: the name stays the same.

Change: the roster write that lists a restarted host gives the least token of later orders to it. Its revision lies between the holder's claim and any later claim, and no start leaves before it. So the first order after it shuts out all that left before, also late starts. An order that the host refuses for that reason does not end the holding. Beside it, a poll carries a number of recorded ends only while the host lists ends and has answered the last order.

Two new faults of the simulation: a restart whose entry comes later, and orders to one host that take effect late.

What stays: a start and a poll that both left between the restart and the first answer carry the same token.

--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -1,5 +1,6 @@
 //! Writes the host roster: the hosts that may run work, for the next holder.
 
+use cassiahoist_core::prelude::*;
 use cassiahoist_membership::SLICE;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::{HostRoster, RosterHost};
@@ -64,8 +65,10 @@
                 for (key, started_unix_ms) in written_hosts {
                     if let Some(host) = world.hosts.get_mut(key)
                         && host.entry.started_unix_ms == started_unix_ms
+                        && !host.in_roster
                     {
                         host.in_roster = true;
+                        host.min_fence = Fence(revision);
                     }
                 }
             }
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -33,6 +33,9 @@
             host.entry.started_unix_ms = started_unix_ms;
         }
     }
+    if let Some(host) = world.hosts.get_mut(key) {
+        host.lists_ends = !lists.ended.is_empty();
+    }
     for report in &lists.ended {
         apply_end_report(world, key, report, now_ms);
     }
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -100,6 +100,7 @@
     host.adoption = Adoption::Unknown;
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
+    host.lists_ends = false;
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -47,8 +47,9 @@
         }
         detect_host_restart(world, &completion, now_ms);
         update_reachability(world, &completion, now_ms);
-        // A host also refuses an order that carries the fence of an earlier claim of this daemon.
-        let order_outdated = world.holding.fence().is_some_and(|fence| completion.order.fence < fence);
+        // A host also refuses an order from before an earlier claim of this daemon, or from before its own restart.
+        let present_fence = world.order_fence(completion.order.host);
+        let order_outdated = present_fence.is_some_and(|fence| completion.order.fence < fence);
         if completion.outcome == OrderOutcome::Refused(RefusalReason::Fence) && !order_outdated {
             let superseding_fence = Fence(completion.order.fence.0 + 1);
             step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
@@ -271,7 +272,7 @@
     }
     let Some(host) = world.hosts.get_mut(key) else { return };
     host.open_extra_polls += 1;
-    let last_end_recorded = host.last_end_recorded;
+    let last_end_recorded = host.droppable_end();
     let order = Order::Poll { lease_until_ms: None, last_end_recorded, wait_ms: 0 };
     world.counters.polls += 1;
     let timeout_ms = IMMEDIATE_POLL_TIMEOUT_MS + world.holding.answer_times.latency_allowance_ms();
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -113,7 +113,7 @@
             let lease_end_ms = now_ms + world.local.bounds.max_run_lease_ms();
             host.lease_end_ms = host.lease_end_ms.max(lease_end_ms);
         }
-        let last_end_recorded = host.last_end_recorded;
+        let last_end_recorded = host.droppable_end();
         world.counters.polls += 1;
         let order = Order::Poll { lease_until_ms, last_end_recorded, wait_ms };
         world.send_order(key, order, wait_ms + slack_ms, now_ms);
--- a/crates/cassiahoist_standins/src/platform.rs
+++ b/crates/cassiahoist_standins/src/platform.rs
@@ -23,6 +23,19 @@
     pub unreachable_until_ms: u64,
     /// Whether its entry reports that it is draining.
     pub draining: bool,
+    /// Delay of the orders that are sent to it; `None` if they arrive at once.
+    pub late_orders: Option<LateOrders>,
+    /// Time at which it writes its entry after a restart, in milliseconds; `None` if none is due.
+    pub entry_due_ms: Option<u64>,
+}
+
+/// Orders to one host that take effect late, without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateOrders {
+    /// Time until which orders that are sent are late, in milliseconds.
+    pub until_ms: u64,
+    /// Time after which each of them takes effect, in milliseconds.
+    pub delay_ms: u64,
 }
 
 /// Stand-in platform with its ground truth and its trace.
@@ -63,6 +76,8 @@
                     address: address.clone(),
                     unreachable_until_ms: 0,
                     draining: false,
+                    late_orders: None,
+                    entry_due_ms: None,
                 })
             })
             .collect();
@@ -108,6 +123,16 @@
         self.record_host_state(number, now_ms);
     }
 
+    /// Writes the entries of restarted hosts that are due.
+    pub fn write_due_entries(&mut self, now_ms: u64) {
+        for number in 0..self.registered_hosts.len() {
+            let registered = &mut self.registered_hosts[number];
+            if registered.entry_due_ms.take_if(|due_ms| now_ms >= *due_ms).is_some() {
+                self.write_host_entry(number, now_ms);
+            }
+        }
+    }
+
     /// Changes how a host misbehaves.
     pub fn set_host_health(&mut self, number: usize, health: HostHealth, now_ms: u64) {
         self.registered_hosts[number].host.health = health;
@@ -128,6 +153,7 @@
     /// Advances the store and all hosts to a time.
     pub fn advance(&mut self, now_ms: u64) {
         self.store.advance(now_ms);
+        self.write_due_entries(now_ms);
         let first_observation = self.trace.observations.len();
         let members = self.gang_members();
         let ground_truth = &self.ground_truth;
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -177,7 +177,15 @@
             let outcome = OrderOutcome::NotSent(UnsentCause::ConnectTimeout);
             return self.fail_connected_order(open_call, outcome, report_at_ms);
         }
-        let late_ms = if open_call.drop_reply { self.rng.random_range(2_000..8_000) } else { 0 };
+        let late_orders = host_index.and_then(|number| self.platform.registered_hosts[number].late_orders);
+        let late_ms = match late_orders.filter(|late| self.now_ms < late.until_ms) {
+            Some(late) => {
+                open_call.drop_reply = true;
+                late.delay_ms
+            }
+            None if open_call.drop_reply => self.rng.random_range(2_000..8_000),
+            None => 0,
+        };
         if let Some(queued_ms) = self.daemons[open_call.daemon].link.queue_order(self.now_ms) {
             self.open_call(open_call, late_ms + queued_ms);
         } else {
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -6,7 +6,7 @@
 
 use super::{Scenario, Simulation};
 use crate::host::HostHealth;
-use crate::platform::TIME_ZERO_UNIX_MS;
+use crate::platform::{LateOrders, TIME_ZERO_UNIX_MS};
 
 /// Injected misbehaviour of the store and of the paths to hosts.
 ///
@@ -62,8 +62,14 @@
     CompactHistory,
     /// Restarts a host, which loses its runs.
     RestartHost(usize),
+    /// Restarts a host, whose entry follows after a time.
+    RestartHostUnannounced(usize, u64),
     /// Makes a host unreachable for a time.
     MakeHostUnreachable(usize, u64),
+    /// Delays the orders that are sent to a host within a time, and loses their answers.
+    ///
+    /// The first duration is that time, the second the delay after which each of them takes effect.
+    DelayOrders(usize, u64, u64),
     /// Changes the misbehaviour of a host.
     SetHostHealth(usize, HostHealth),
     /// Marks a host as draining.
@@ -100,9 +106,11 @@
             | Fault::KillAllDaemons(for_ms)
             | Fault::PauseHolder(for_ms)
             | Fault::CutHolderFromStore(for_ms)
+            | Fault::RestartHostUnannounced(_, for_ms)
             | Fault::SlowHolderLink(for_ms, _)
             | Fault::CutDaemonFromStore(_, for_ms)
             | Fault::MakeHostUnreachable(_, for_ms) => *for_ms,
+            Fault::DelayOrders(_, for_ms, delay_ms) => for_ms + delay_ms,
             Fault::SetStoreHealth(health) if *health == StoreHealth::default() => {
                 let since_ms = self.store_faulty_since_ms.take().unwrap_or(now_ms);
                 self.active_spans.push((since_ms, now_ms));
@@ -199,10 +207,17 @@
             Fault::CompactHistory => self.platform.store.compact(),
             Fault::WriteConfig(version) => self.platform.write_config(version, now_ms),
             Fault::UnreadableHostEntry => self.platform.store.put("servers/orphan", "bm8ganNvbg==".into()),
-            Fault::RestartHost(host) => self.restart_host(host % hosts),
+            Fault::RestartHost(host) => self.restart_host(host % hosts, 0),
+            Fault::RestartHostUnannounced(host, entry_delay_ms) => {
+                self.restart_host(host % hosts, entry_delay_ms);
+            }
             Fault::MakeHostUnreachable(host, for_ms) => {
                 self.platform.registered_hosts[host % hosts].unreachable_until_ms = now_ms + for_ms;
             }
+            Fault::DelayOrders(host, for_ms, delay_ms) => {
+                self.platform.registered_hosts[host % hosts].late_orders =
+                    Some(LateOrders { until_ms: now_ms + for_ms, delay_ms });
+            }
             Fault::SetHostHealth(host, health) => self.platform.set_host_health(host % hosts, health, now_ms),
             Fault::DrainHost(host) => {
                 self.platform.registered_hosts[host % hosts].draining = true;
@@ -213,10 +228,11 @@
 }
 
 impl Simulation {
-    fn restart_host(&mut self, host: usize) {
+    fn restart_host(&mut self, host: usize, entry_delay_ms: u64) {
         let (platform, now_ms) = (&mut self.platform, self.now_ms);
         platform.registered_hosts[host].host.restart(TIME_ZERO_UNIX_MS + now_ms, now_ms, &mut platform.trace);
-        platform.write_host_entry(host, now_ms);
+        platform.registered_hosts[host].entry_due_ms = Some(now_ms + entry_delay_ms);
+        platform.write_due_entries(now_ms);
         let address = platform.registered_hosts[host].address.clone();
         self.fail_host_calls(&address);
     }
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -248,6 +248,28 @@
     assert_eq!(sim.callers.answers_by_status.get(&504), None, "{:?}", sim.callers.answers_by_status);
 }
 
+/// Polls leave for restarted hosts before the holder learns of the restarts, and take effect three seconds later.
+///
+/// Their numbers of recorded ends counted those of the earlier incarnations. The new ones dropped ends that a silent store
+/// had not recorded, the holder was replaced, and its successor started the tasks again.
+#[test]
+fn late_polls_of_an_earlier_incarnation_drop_no_ends() {
+    let silent = StoreHealth { unresponsive: true, ..StoreHealth::default() };
+    for seed in 51..55 {
+        let restarted_ms = 11_000;
+        let mut faults = vec![
+            (restarted_ms + 1_200, set_store_health(silent)),
+            (restarted_ms + 3_400, Fault::KillHolder(8_000)),
+            (restarted_ms + 3_600, STORE_HEALTHY),
+        ];
+        for host in 0..8 {
+            faults.push((restarted_ms, Fault::RestartHostUnannounced(host, 150)));
+            faults.push((restarted_ms, Fault::DelayOrders(host, 100, 3_000)));
+        }
+        run_scenario(seed, faults);
+    }
+}
+
 #[test]
 fn seeded_scenarios_violate_no_invariant() {
     for seed in 1..=24 {
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -1,9 +1,10 @@
 //! Hosts that restart with a new incarnation.
 
+use cassiahoist_core::prelude::*;
 use cassiahoist_world::hosts::HostEntry;
 use cassiahoist_world::jobs::TaskState;
-use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome, RefusalReason};
-use cassiahoist_world::store::KeySpace;
+use cassiahoist_world::orders::{HostLists, HostOrder, Order, OrderOutcome, RefusalReason};
+use cassiahoist_world::store::{KeySpace, StorePurpose, StoreReply};
 
 use crate::support::{FENCE, TestDaemon, entry_change, host_entry, running, running_lists, step, task_name};
 
@@ -132,3 +133,52 @@
     holder.answer(late_poll, OrderOutcome::Refused(RefusalReason::OtherLife), Some(2_000));
     assert!(holder.app.world().hosts.find(&host_entry(0).name).is_some());
 }
+
+/// Returns a poll of the first host, as it was issued before a restart.
+fn earlier_poll(holder: &TestDaemon) -> HostOrder {
+    HostOrder {
+        host: holder.host(0),
+        host_name: host_entry(0).name,
+        address: host_entry(0).address,
+        fence: FENCE,
+        order: Order::Poll { lease_until_ms: None, last_end_recorded: 57, wait_ms: 0 },
+        timeout_ms: 100,
+    }
+}
+
+/// Lets the first host register a new incarnation and list nothing, and records it in the roster at `revision`.
+fn restart_first_host(holder: &mut TestDaemon, revision: u64) {
+    let started_unix_ms = host_entry(0).started_unix_ms + 50_000;
+    let restarted = HostEntry { started_unix_ms, ..host_entry(0) };
+    holder.receive_changes(KeySpace::Hosts, vec![entry_change(restarted)], 90);
+    let lists = HostLists { started_unix_ms: Some(started_unix_ms), ..HostLists::default() };
+    holder.report_lists_at(0, lists, 500);
+    let write = holder.store_calls().find(|call| call.purpose == StorePurpose::WriteRoster).cloned().unwrap();
+    holder.answer_store(write, Ok(StoreReply::Committed { revision }));
+}
+
+/// A poll of an earlier incarnation may take effect at the new one, which has seen no fence yet.
+///
+/// Its number of recorded ends made the host drop ends of tasks that were started since, and the tasks ran again.
+#[test]
+fn starts_after_a_restart_shut_out_orders_of_the_earlier_incarnation() {
+    let mut holder = TestDaemon::with_hosts(1);
+    restart_first_host(&mut holder, FENCE.0 + 20);
+    holder.add_job(1, vec![step(1)]);
+    holder.tick(10);
+    let start = holder.orders().find(|order| matches!(order.order, Order::Start { .. })).unwrap();
+    assert!(start.fence > earlier_poll(&holder).fence);
+}
+
+/// The restarted host refuses an order of the earlier incarnation; the holder is still the only one.
+#[test]
+fn earlier_order_that_a_restarted_host_refuses_ends_no_holding() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let poll = earlier_poll(&holder);
+    restart_first_host(&mut holder, FENCE.0 + 20);
+    holder.answer(poll, OrderOutcome::Refused(RefusalReason::Fence), Some(520));
+    assert!(holder.app.world().holding.is_holding());
+    let poll = HostOrder { fence: Fence(FENCE.0 + 20), ..earlier_poll(&holder) };
+    holder.answer(poll, OrderOutcome::Refused(RefusalReason::Fence), Some(530));
+    assert!(!holder.app.world().holding.is_holding(), "the host has seen the token of a successor");
+}
--- a/crates/cassiahoist_standins/tests/systems/polls.rs
+++ b/crates/cassiahoist_standins/tests/systems/polls.rs
@@ -3,10 +3,11 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::holding::HoldingEvent;
-use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome};
+use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome, RunEnding};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
+use cassiahoist_world::store::{StorePurpose, StoreReply};
 
-use crate::support::{TestDaemon, running, running_lists, step, task_name};
+use crate::support::{TestDaemon, end, ended_lists, running, running_lists, step, task_name};
 
 /// Returns the orders of the last tick that satisfy a condition.
 fn find_orders(holder: &TestDaemon, wanted: fn(&Order) -> bool) -> Vec<HostOrder> {
@@ -76,3 +77,39 @@
     assert!(find_orders(&holder, is_poll).is_empty());
     assert_eq!(holder.app.world().hosts.get(holder.host(0)).unwrap().open_extra_polls, 0);
 }
+
+/// Returns the number of recorded ends in the regular poll that the last tick sent.
+fn recorded_in_poll(holder: &TestDaemon) -> u64 {
+    let is_regular = |order: &Order| matches!(order, Order::Poll { lease_until_ms: Some(_), .. });
+    let poll = find_orders(holder, is_regular).remove(0);
+    let Order::Poll { last_end_recorded, .. } = poll.order else { unreachable!() };
+    last_end_recorded
+}
+
+/// A number of recorded ends says nothing to an incarnation that numbers its ends from the start again.
+///
+/// So a poll carries one only while the host lists ends, and only if the last order to it was answered.
+#[test]
+fn polls_carry_recorded_ends_only_to_hosts_that_list_them() {
+    let mut holder = TestDaemon::with_running_tasks(1, 2);
+    holder.tick(50);
+    let still_runs = running(&task_name(1, 0, 1), 1);
+    let mut lists = ended_lists(vec![end(1, &task_name(1, 0, 0), 1, RunEnding::Done)]);
+    lists.running.push(still_runs.clone());
+    holder.report_lists(0, lists.clone());
+    let commit = holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_))).remove(0);
+    holder.answer_store(commit, Ok(StoreReply::Committed { revision: 60 }));
+    holder.report_lists(0, lists);
+    assert_eq!(recorded_in_poll(&holder), 1);
+    let poll = find_orders(&holder, is_poll).remove(0);
+    holder.tick(5);
+    holder.answer(poll, OrderOutcome::Unknown, None);
+    holder.tick(50);
+    assert_eq!(recorded_in_poll(&holder), 0, "the host may have restarted");
+    let mut lists = ended_lists(vec![end(1, &task_name(1, 0, 0), 1, RunEnding::Done)]);
+    lists.running.push(still_runs.clone());
+    holder.report_lists(0, lists);
+    assert_eq!(recorded_in_poll(&holder), 1);
+    holder.report_lists(0, running_lists(vec![still_runs]));
+    assert_eq!(recorded_in_poll(&holder), 0, "the host has dropped the ends");
+}
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -95,6 +95,11 @@
     /// Whether a restart was detected by the host's clock alone. Then the start of the new incarnation is
     /// still unknown.
     pub start_unknown: bool,
+    /// Least fencing token of orders to the host.
+    ///
+    /// It is the revision of the roster write that listed the present incarnation: later than the claim, and earlier than
+    /// any other one. An order from before that write can no longer take effect once a later one has.
+    pub min_fence: Fence,
     /// Since when the host has had no store entry, in monotonic milliseconds. `None` if it has one.
     pub missing_since_ms: Option<u64>,
     /// Since when the host has been draining, in monotonic milliseconds. `None` if it is not.
@@ -125,6 +130,8 @@
     pub last_end_applied: u64,
     /// Greatest end number that is durable in the store. The host may drop ends up to it.
     pub last_end_recorded: u64,
+    /// Whether the latest lists of the host contained ends.
+    pub lists_ends: bool,
     /// The host's own clock at the latest lists that were applied, in milliseconds; 0 before the first.
     pub lists_clock_ms: u64,
     /// When these lists arrived, in monotonic milliseconds; 0 before the first.
@@ -152,6 +159,7 @@
         Self {
             entry,
             start_unknown: false,
+            min_fence: Fence(0),
             missing_since_ms: None,
             draining_since_ms: None,
             adoption: Adoption::Unknown,
@@ -165,6 +173,7 @@
             in_roster: false,
             last_end_applied: 0,
             last_end_recorded: 0,
+            lists_ends: false,
             lists_clock_ms: 0,
             lists_received_at_ms: 0,
             reserved: Resources::default(),
@@ -224,6 +233,15 @@
             && now_ms >= self.standing.quarantined_until_ms
     }
 
+    /// Returns the greatest end number that the host may drop now; 0 for none.
+    ///
+    /// Another incarnation would drop ends of its own by it. So it is 0 unless there is something to drop, and unless the host
+    /// answered the last order.
+    #[must_use]
+    pub fn droppable_end(&self) -> u64 {
+        if self.lists_ends && self.unresponsive_since_ms.is_none() { self.last_end_recorded } else { 0 }
+    }
+
     /// Converts a monotonic time to the host's own clock, in milliseconds.
     #[must_use]
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -115,11 +115,18 @@
         self.emit(Effect::CallStore { call, issued_at_ms: now_ms });
     }
 
+    /// Returns the fencing token of orders to a host; `None` without a claim.
+    #[must_use]
+    pub fn order_fence(&self, host: HostKey) -> Option<Fence> {
+        let min_fence = self.hosts.get(host).map_or(Fence(0), |row| row.min_fence);
+        self.holding.fence().map(|fence| fence.max(min_fence))
+    }
+
     /// Sends an order to a host under this daemon's fencing token.
     ///
     /// Does nothing if this daemon has no claim or the host has no row.
     pub fn send_order(&mut self, host: HostKey, order: Order, timeout_ms: u64, now_ms: u64) {
-        let (Some(fence), Some(row)) = (self.holding.fence(), self.hosts.get(host)) else { return };
+        let (Some(fence), Some(row)) = (self.order_fence(host), self.hosts.get(host)) else { return };
         let order = HostOrder {
             host,
             host_name: row.entry.name.clone(),
