Drop a restarted host from the record that is on the way

What callers would see: a task that ran again after its end was recorded, or a job that stays unfinished. Found by reading.

Cause: a flush remembers the greatest end number of each host. A host that restarted while the store had not answered yet numbers its ends from the start again. Once the new incarnation had listed as many ends, the answer counted for them, and the next poll let the host drop them unrecorded.

Change: the reset of a restarted host takes it out of the open flush.

Evidence: record_of_ends_before_a_restart_counts_for_no_later_end fails before with (1, 1) in place of (1, 0).

--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -107,6 +107,10 @@
     host.lists_received_at_ms = 0;
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
     host.open_extra_polls = 0;
+    if let Some(flush) = &mut world.store_writes.flush {
+        // The new incarnation numbers its ends from the start again.
+        flush.end_numbers.retain(|(flushed, _)| *flushed != key);
+    }
     let was_listed = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed_by_host);
     let runs: Vec<RunKey> = host.runs.iter().filter(was_listed).copied().collect();
     let log_record =
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -3,10 +3,12 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::hosts::HostEntry;
 use cassiahoist_world::jobs::TaskState;
-use cassiahoist_world::orders::{HostLists, HostOrder, Order, OrderOutcome, RefusalReason};
+use cassiahoist_world::orders::{HostLists, HostOrder, Order, OrderOutcome, RefusalReason, RunEnding};
 use cassiahoist_world::store::{KeySpace, StorePurpose, StoreReply};
 
-use crate::support::{FENCE, TestDaemon, entry_change, host_entry, running, running_lists, step, task_name};
+use crate::support::{
+    FENCE, TestDaemon, end, ended_lists, entry_change, host_entry, running, running_lists, step, task_name,
+};
 
 /// A restart ends the host's runs and begins its list of ends anew.
 #[test]
@@ -182,3 +184,30 @@
     holder.answer(poll, OrderOutcome::Refused(RefusalReason::Fence), Some(530));
     assert!(!holder.app.world().holding.is_holding(), "the host has seen the token of a successor");
 }
+
+/// A host restarts while the record of its ends is on the way to the store.
+///
+/// The record counted for ends of the new incarnation, which dropped them unrecorded.
+#[test]
+fn record_of_ends_before_a_restart_counts_for_no_later_end() {
+    let mut holder = TestDaemon::with_running_tasks(1, 2);
+    holder.tick(50);
+    holder.report_lists(
+        0,
+        HostLists {
+            ended: vec![end(1, &task_name(1, 0, 0), 1, RunEnding::Done)],
+            ..running_lists(vec![running(&task_name(1, 0, 1), 1)])
+        },
+    );
+    let commits = holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_)));
+    assert_eq!(commits.len(), 1);
+    restart_first_host(&mut holder, FENCE.0 + 20);
+    holder.tick(50);
+    holder.confirm_starts();
+    let ended = ended_lists(vec![end(1, &task_name(1, 0, 1), 2, RunEnding::Done)]);
+    let started_unix_ms = Some(host_entry(0).started_unix_ms + 50_000);
+    holder.report_lists_at(0, HostLists { started_unix_ms, ..ended }, 2_100);
+    holder.answer_store(commits[0].clone(), Ok(StoreReply::Committed { revision: 95 }));
+    let host = holder.app.world().hosts.get(holder.host(0)).unwrap();
+    assert_eq!((host.last_end_applied, host.last_end_recorded), (1, 0));
+}
