Ignore answers of an earlier incarnation after a restart was noticed

What callers would see: runs of a restarted host counted as ended while they went on, and started again elsewhere.

Cause: an answer that an earlier incarnation gave may arrive after the entry of the new one. Its lists and its clock were taken for another restart: the holder applied ends of the earlier incarnation, and the next answer of the new one looked like a third restart, which ended the runs listed since.

Change: an answer to an order from before the notice, whose clock goes on from the earlier incarnation's, counts as no answer. A start is then settled by a stop as any unanswered one.

Evidence: late_lists_of_an_earlier_incarnation_are_ignored fails before (57 ends applied in place of none).

--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll};
+use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll, Restart};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
@@ -101,6 +101,8 @@
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
     host.lists_ends = false;
+    let earlier_clock_offset_ms = host.clock_known.then_some(host.clock_offset_ms);
+    host.last_restart = Some(Restart { noticed_at_ms: now_ms, earlier_clock_offset_ms });
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -45,6 +45,10 @@
             apply_refusal_of_other_host(world, completion, now_ms);
             continue;
         }
+        if is_from_earlier_incarnation(world, &completion) {
+            apply_answer_of_earlier_incarnation(world, completion, now_ms);
+            continue;
+        }
         detect_host_restart(world, &completion, now_ms);
         update_reachability(world, &completion, now_ms);
         // A host also refuses an order from before an earlier claim of this daemon, or from before its own restart.
@@ -59,6 +63,31 @@
     }
 }
 
+/// Returns whether an answer comes from an incarnation of the host that has ended.
+///
+/// It may arrive after the holder has learned of the restart. Its clock goes on from that of the earlier incarnation.
+fn is_from_earlier_incarnation(world: &World, completion: &OrderCompletion) -> bool {
+    let Some(clock_ms) = completion.host_clock_ms else { return false };
+    let restart = world.hosts.get(completion.order.host).and_then(|host| host.last_restart);
+    restart.is_some_and(|restart| {
+        let earlier_clock_ms = restart
+            .earlier_clock_offset_ms
+            .map(|offset_ms| completion.completed_at_ms.saturating_add_signed(offset_ms));
+        completion.issued_at_ms < restart.noticed_at_ms
+            && earlier_clock_ms.is_some_and(|earlier_ms| clock_ms.abs_diff(earlier_ms) <= CLOCK_TOLERANCE_MS)
+    })
+}
+
+/// Applies an answer that says nothing about the present incarnation of the host.
+///
+/// The order may still take effect there, as an unanswered one.
+fn apply_answer_of_earlier_incarnation(world: &mut World, completion: OrderCompletion, now_ms: u64) {
+    if !matches!(completion.order.order, Order::Poll { .. }) {
+        let outcome = OrderOutcome::Unknown;
+        apply_answer(world, OrderCompletion { host_clock_ms: None, outcome, ..completion }, now_ms);
+    }
+}
+
 /// Removes a host whose address now belongs to the one that refused the order.
 ///
 /// If the host has moved to another address since the order was issued, only the order is void.
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -211,3 +211,30 @@
     let host = holder.app.world().hosts.get(holder.host(0)).unwrap();
     assert_eq!((host.last_end_applied, host.last_end_recorded), (1, 0));
 }
+
+/// Lists of the earlier incarnation arrive after the holder learned of the restart.
+///
+/// They were taken for another restart, and its ends counted for those of the new incarnation.
+#[test]
+fn late_lists_of_an_earlier_incarnation_are_ignored() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let poll = earlier_poll(&holder);
+    let empty = OrderOutcome::Done { lists: Some(HostLists::default()) };
+    holder.answer(poll.clone(), empty, Some(90_000));
+    let issued_at_ms = holder.now_ms;
+    holder.tick(10);
+    restart_first_host(&mut holder, FENCE.0 + 20);
+    let lists = HostLists {
+        started_unix_ms: Some(host_entry(0).started_unix_ms),
+        ..ended_lists(vec![end(57, &task_name(1, 0, 0), 1, RunEnding::Done)])
+    };
+    let outcome = OrderOutcome::Done { lists: Some(lists) };
+    holder.answer_issued_at(poll, outcome, Some(90_020), issued_at_ms);
+    let host = holder.app.world().hosts.get(holder.host(0)).unwrap();
+    assert_eq!(host.last_end_applied, 0);
+    assert_eq!(host.entry.started_unix_ms, host_entry(0).started_unix_ms + 50_000);
+    assert!(
+        host.in_roster && host.clock_ms(holder.now_ms) < 2_000,
+        "its clock is that of the new incarnation"
+    );
+}
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -187,13 +187,20 @@
         outcome: OrderOutcome,
         host_clock_ms: Option<u64>,
     ) -> &[Effect] {
-        let completion = OrderCompletion {
-            order,
-            issued_at_ms: self.now_ms,
-            host_clock_ms,
-            completed_at_ms: self.now_ms + 1,
-            outcome,
-        };
+        let issued_at_ms = self.now_ms;
+        self.answer_issued_at(order, outcome, host_clock_ms, issued_at_ms)
+    }
+
+    /// Answers an order that was issued at a time in monotonic milliseconds, and runs a tick.
+    pub fn answer_issued_at(
+        &mut self,
+        order: HostOrder,
+        outcome: OrderOutcome,
+        host_clock_ms: Option<u64>,
+        issued_at_ms: u64,
+    ) -> &[Effect] {
+        let completion =
+            OrderCompletion { order, issued_at_ms, host_clock_ms, completed_at_ms: self.now_ms + 1, outcome };
         self.receive_event(Event::OrderCompleted(Box::new(completion)))
     }
 
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -87,6 +87,15 @@
     pub has_unknown_size: bool,
 }
 
+/// A restart of a host, as far as orders from before it are concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restart {
+    /// When the holder learned of it, in monotonic milliseconds.
+    pub noticed_at_ms: u64,
+    /// Clock of the earlier incarnation minus this daemon's, in milliseconds; `None` if it was unknown.
+    pub earlier_clock_offset_ms: Option<i64>,
+}
+
 /// A backend server in one incarnation.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -95,6 +104,8 @@
     /// Whether a restart was detected by the host's clock alone. Then the start of the new incarnation is
     /// still unknown.
     pub start_unknown: bool,
+    /// Latest restart that the holder noticed; `None` before the first.
+    pub last_restart: Option<Restart>,
     /// Least fencing token of orders to the host.
     ///
     /// It is the revision of the roster write that listed the present incarnation: later than the claim, and earlier than
@@ -159,6 +170,7 @@
         Self {
             entry,
             start_unknown: false,
+            last_restart: None,
             min_fence: Fence(0),
             missing_since_ms: None,
             draining_since_ms: None,
