--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll};
+use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll, Restart};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
@@ -100,12 +100,19 @@
     host.adoption = Adoption::Unknown;
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
+    host.lists_ends = false;
+    let earlier_clock_offset_ms = host.clock_known.then_some(host.clock_offset_ms);
+    host.last_restart = Some(Restart { noticed_at_ms: now_ms, earlier_clock_offset_ms });
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
     host.lists_received_at_ms = 0;
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
     host.open_extra_polls = 0;
+    if let Some(flush) = &mut world.store_writes.flush {
+        // The new incarnation numbers its ends from the start again.
+        flush.end_numbers.retain(|(flushed, _)| *flushed != key);
+    }
     let was_listed = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed_by_host);
     let runs: Vec<RunKey> = host.runs.iter().filter(was_listed).copied().collect();
     let log_record =
