Count a predecessor's tenure only if its beginning was seen

Callers saw: after a loss of power everywhere, a new holder on a slow machine could not release the slice for 15 s. Cause: the tenure of the claim before counted from this daemon's own first listing. A daemon that has just started took a holder of minutes for one of a second, and so the slice for one that goes round. Change: a claim that the first listing shows has no known beginning, and its tenure is not known. One that goes round still shows: each further claim is seen to begin. Evidence: `claim_listed_at_the_start_has_no_known_tenure` fails on the earlier code.

--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -223,8 +223,8 @@
     let unbroken = world.holding.last_holder.as_ref() == Some(&own)
         && world.holding.term + 1 == term
         && world.holding.loading.is_complete();
-    let seen_at_ms = std::mem::replace(&mut world.holding.claim_seen_at_ms, now_ms);
-    world.holding.predecessor_tenure_ms = (seen_at_ms > 0).then(|| now_ms - seen_at_ms);
+    let seen_at_ms = world.holding.claim_seen_at_ms.replace(now_ms);
+    world.holding.predecessor_tenure_ms = seen_at_ms.map(|seen_at_ms| now_ms - seen_at_ms);
     world.counters.claims += 1;
     let log_record = LogRecord::new(EventId::ClaimWon).with("fence", fence).with("term", term);
     world.log(log_record.with("unbroken", unbroken));
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -96,6 +96,8 @@
     if revision < known_revision || fence < world.holding.greatest_fence {
         return;
     }
+    // Once the cell was listed, either a claim or a vacancy is known.
+    let is_first_listing = world.holding.claim.is_none() && world.holding.vacant_since_ms.is_none();
     world.holding.greatest_fence = fence;
     world.holding.vacant_since_ms = None;
     if is_own {
@@ -109,7 +111,7 @@
         return;
     }
     if revision != known_revision {
-        world.holding.claim_seen_at_ms = now_ms;
+        world.holding.claim_seen_at_ms = (!is_first_listing).then_some(now_ms);
         let log_record = LogRecord::new(EventId::HolderChanged).with("holder", &claim.holder);
         world.log(log_record.with("fence", fence).with("term", claim.term));
     }
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -7,8 +7,11 @@
 use cassiahoist_jobs::insert_job;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
-use cassiahoist_world::record::MemberRecord;
-use cassiahoist_world::store::{KeySpace, StoreChange, StoreFailure, StoreKey, StorePurpose, StoreReply};
+use cassiahoist_world::record::{ClaimRecord, MemberRecord, TermRecord};
+use cassiahoist_world::store::{
+    KeySpace, StoreChange, StoreCompletion, StoreFailure, StoreItem, StoreKey, StorePurpose, StoreReply,
+    StoreValue,
+};
 
 use crate::support::{FENCE, TestDaemon, host_entry, job_record};
 
@@ -31,6 +34,51 @@
     holder
 }
 
+/// Creates the completion of an order to a host.
+fn completion(
+    holder: &TestDaemon,
+    number: u64,
+    issued_at_ms: u64,
+    outcome: OrderOutcome,
+) -> Box<OrderCompletion> {
+    let order = HostOrder {
+        host: holder.host(number),
+        host_name: host_entry(number).name,
+        address: host_entry(number).address,
+        fence: FENCE,
+        order: Order::SetPace {
+            run: cassiahoist_world::runs::RunKey::default(),
+            task: "0000000000000001.0.0.0".parse().unwrap(),
+            run_number: 1,
+            percent: 100,
+        },
+        timeout_ms: 800,
+    };
+    let is_answer = matches!(outcome, OrderOutcome::Done { .. });
+    Box::new(OrderCompletion {
+        order,
+        issued_at_ms,
+        host_clock_ms: is_answer.then_some(holder.now_ms + 9_000),
+        completed_at_ms: holder.now_ms,
+        outcome,
+    })
+}
+
+/// Lets one host answer every 100 ms for some time, after `latency_ms`. Returns whether the claim was released.
+fn answer_single_orders_for(holder: &mut TestDaemon, time_ms: u64, latency_ms: u64) -> bool {
+    let until_ms = holder.now_ms + time_ms;
+    while holder.now_ms < until_ms {
+        let issued_at_ms = (holder.now_ms + TICK_MS).saturating_sub(latency_ms);
+        let completion = completion(holder, 0, issued_at_ms, OrderOutcome::Done { lists: None });
+        holder.app.push_event(Event::OrderCompleted(completion));
+        holder.tick(TICK_MS);
+        if holder.store_calls().any(|call| call.purpose == StorePurpose::ReleaseClaim) {
+            return true;
+        }
+    }
+    false
+}
+
 /// Lets all hosts answer every 100 ms for some time.
 ///
 /// The first host answers after `min_latency_ms`, the others after 400 ms. Returns whether the claim was
@@ -42,26 +90,8 @@
         for number in 0..6 {
             let latency_ms = if number == 0 { min_latency_ms } else { 400 };
             let issued_at_ms = holder.now_ms + TICK_MS - latency_ms;
-            let order = HostOrder {
-                host: holder.host(number),
-                host_name: host_entry(number).name,
-                address: host_entry(number).address,
-                fence: FENCE,
-                order: Order::SetPace {
-                    run: cassiahoist_world::runs::RunKey::default(),
-                    task: "0000000000000001.0.0.0".parse().unwrap(),
-                    run_number: 1,
-                    percent: 100,
-                },
-                timeout_ms: 800,
-            };
-            holder.app.push_event(Event::OrderCompleted(Box::new(OrderCompletion {
-                order,
-                issued_at_ms,
-                host_clock_ms: Some(holder.now_ms + 9_000),
-                completed_at_ms: holder.now_ms,
-                outcome: OrderOutcome::Done { lists: None },
-            })));
+            let completion = completion(holder, number, issued_at_ms, OrderOutcome::Done { lists: None });
+            holder.app.push_event(Event::OrderCompleted(completion));
         }
         holder.tick(TICK_MS);
         released |= holder.store_calls().any(|call| call.purpose == StorePurpose::ReleaseClaim);
@@ -253,3 +283,64 @@
     let mut starts = holder.orders().filter(|order| matches!(order.order, Order::Start { .. }));
     assert!(starts.next().expect("a task starts").timeout_ms >= 800);
 }
+
+/// Delivers what a daemon that starts, or watches, learns of the claim of another one.
+fn claim_of_other(revision: u64) -> Vec<StoreItem> {
+    let holder: Incarnation = "edge-1#1".parse().unwrap();
+    let claim = ClaimRecord { holder: holder.clone(), peer_address: "10.1.0.1:7720".into(), term: 1 };
+    let term = TermRecord { term: 1, holder, released: false };
+    vec![
+        StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision },
+        StoreItem { key: StoreKey::Term(SliceId(0)), value: StoreValue::Term(term), revision },
+    ]
+}
+
+/// Lets the claim of the other daemon end and this one win the next. Returns the tenure that it takes for the other's.
+fn predecessor_tenure_ms(daemon: &mut TestDaemon) -> Option<u64> {
+    daemon.tick(2_000);
+    daemon.receive_changes(
+        KeySpace::Cell,
+        vec![StoreChange::Removed { key: StoreKey::Claim(SliceId(0)), revision: 60 }],
+        60,
+    );
+    let now_ms = daemon.now_ms;
+    let world = daemon.app.world_mut();
+    world.holding.claim_sent_at_ms = now_ms;
+    let claim = ClaimRecord {
+        holder: world.local.incarnation.clone(),
+        peer_address: world.local.peer_address.clone(),
+        term: 2,
+    };
+    let item = StoreItem { key: StoreKey::Claim(SliceId(0)), value: StoreValue::Claim(claim), revision: 70 };
+    daemon.receive_changes(KeySpace::Cell, vec![StoreChange::Written(item)], 70);
+    assert!(daemon.app.world().holding.fence().is_some());
+    daemon.app.world().holding.predecessor_tenure_ms
+}
+
+/// After a loss of power everywhere, the next holder first lists the claim of one that held for long.
+///
+/// It took the time since that listing for a short tenure, and kept the slice for 15 s however slow it was.
+#[test]
+fn claim_listed_at_the_start_has_no_known_tenure() {
+    let mut daemon = TestDaemon::standby();
+    daemon.receive_event(Event::StoreCompleted(Box::new(StoreCompletion {
+        purpose: StorePurpose::FollowRange(KeySpace::Cell),
+        issued_at_ms: daemon.now_ms,
+        outcome: Ok(StoreReply::Items { items: claim_of_other(50), revision: 50 }),
+    })));
+    assert_eq!(predecessor_tenure_ms(&mut daemon), None);
+}
+
+#[test]
+fn claim_that_began_since_the_start_has_a_tenure() {
+    let mut daemon = TestDaemon::standby();
+    daemon.receive_event(Event::StoreCompleted(Box::new(StoreCompletion {
+        purpose: StorePurpose::FollowRange(KeySpace::Cell),
+        issued_at_ms: daemon.now_ms,
+        outcome: Ok(StoreReply::Items { items: Vec::new(), revision: 40 }),
+    })));
+    let written = claim_of_other(50).into_iter().map(StoreChange::Written).collect();
+    daemon.receive_changes(KeySpace::Cell, written, 50);
+    let tenure_ms = predecessor_tenure_ms(&mut daemon).unwrap();
+    assert!((2_000..2_100).contains(&tenure_ms), "{tenure_ms} ms");
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -112,9 +112,11 @@
     pub term_revision: u64,
     /// Whether the latest claim was removed by its holder, and did not end with its lease.
     pub was_released: bool,
-    /// When the latest claim was first seen, in monotonic milliseconds; 0 before the first.
-    pub claim_seen_at_ms: u64,
-    /// How long the claim before this daemon's own lasted, in milliseconds. `None` if it saw none.
+    /// When the latest claim began as far as this daemon saw, in monotonic milliseconds.
+    ///
+    /// `None` before the first one, and for a claim that was older than this daemon's first listing.
+    pub claim_seen_at_ms: Option<u64>,
+    /// How long the claim before this daemon's own lasted, in milliseconds. `None` if it saw none begin.
     pub predecessor_tenure_ms: Option<u64>,
     /// Daemon that released the slice before this one claimed it. `None` if the claim before ended with its lease.
     pub released_by: Option<Incarnation>,
@@ -176,7 +178,7 @@
             term: 0,
             term_revision: 0,
             was_released: false,
-            claim_seen_at_ms: 0,
+            claim_seen_at_ms: None,
             predecessor_tenure_ms: None,
             released_by: None,
             greatest_fence: Fence(0),
