Take orders that expire unsent for slow answers

Cause: when all start orders expire in the holder's own queues, no answer comes by which the limit of open starts is measured, so it stayed at 128, and timeouts and the detection of a slow holder did not follow either. Change: such an order counts as an answer that took as long. One quick answer in the window outweighs any number of them. Evidence: `start_limit_shrinks_while_orders_expire_unsent` and `holder_whose_orders_expire_unsent_releases_the_slice` fail on the earlier code.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -7,6 +7,7 @@
 use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::start_window::StartWindow;
+use cassiahoist_world::unsent::UnsentCause;
 
 /// Length of a measuring window, in milliseconds.
 ///
@@ -97,7 +98,7 @@
 /// What the completion of an order tells about the holder's latency.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Measure {
-    /// Time from an order to its answer, in milliseconds.
+    /// Time from an order to its answer, or to its expiry in this daemon's own queues, in milliseconds.
     Latency(u64),
     /// The host did not answer, or only a long poll.
     Nothing,
@@ -107,6 +108,7 @@
     let elapsed_ms = now_ms.saturating_sub(completion.issued_at_ms);
     let wait_ms = if let Order::Poll { wait_ms, .. } = completion.order.order { wait_ms } else { 0 };
     match completion.outcome {
+        OrderOutcome::NotSent(UnsentCause::Expired) => Measure::Latency(elapsed_ms.saturating_sub(wait_ms)),
         OrderOutcome::Done { .. } | OrderOutcome::Refused(_) if wait_ms == 0 => Measure::Latency(elapsed_ms),
         _ => Measure::Nothing,
     }
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -12,6 +12,7 @@
     KeySpace, StoreChange, StoreCompletion, StoreFailure, StoreItem, StoreKey, StorePurpose, StoreReply,
     StoreValue,
 };
+use cassiahoist_world::unsent::UnsentCause;
 
 use crate::support::{FENCE, TestDaemon, host_entry, job_record};
 
@@ -284,6 +285,56 @@
     assert!(starts.next().expect("a task starts").timeout_ms >= 800);
 }
 
+/// Lets orders to all hosts expire in this daemon's own queues every 100 ms for some time.
+///
+/// Returns whether the claim was released.
+fn expire_orders_for(holder: &mut TestDaemon, time_ms: u64) -> bool {
+    let until_ms = holder.now_ms + time_ms;
+    while holder.now_ms < until_ms {
+        for number in 0..6 {
+            let issued_at_ms = holder.now_ms + TICK_MS - 350;
+            let outcome = OrderOutcome::NotSent(UnsentCause::Expired);
+            let completion = completion(holder, number, issued_at_ms, outcome);
+            holder.app.push_event(Event::OrderCompleted(completion));
+        }
+        holder.tick(TICK_MS);
+        if holder.store_calls().any(|call| call.purpose == StorePurpose::ReleaseClaim) {
+            return true;
+        }
+    }
+    false
+}
+
+/// The holder is so slow that all start orders expire before they leave, so that no answer shows it.
+///
+/// The limit of open starts stayed at its first value, and each order expired in turn.
+#[test]
+fn start_limit_shrinks_while_orders_expire_unsent() {
+    let mut holder = settled_holder();
+    expire_orders_for(&mut holder, 1_000);
+    holder.add_job(1, vec![crate::support::step(40)]);
+    holder.tick(10);
+    assert_eq!(holder.starts().len(), 8);
+}
+
+/// All orders expire in the holder's own queues, even with the fewest open starts.
+#[test]
+fn holder_whose_orders_expire_unsent_releases_the_slice() {
+    assert!(expire_orders_for(&mut settled_holder(), 2_000));
+}
+
+/// Some orders expire while others are answered at once, so the holder is not too slow for them.
+#[test]
+fn holder_with_quick_answers_keeps_the_slice_while_orders_expire() {
+    let mut holder = settled_holder();
+    for _ in 0..20 {
+        let now_ms = holder.now_ms;
+        let quick = completion(&holder, 0, now_ms + TICK_MS - 5, OrderOutcome::Done { lists: None });
+        holder.app.push_event(Event::OrderCompleted(quick));
+        assert!(!expire_orders_for(&mut holder, TICK_MS));
+    }
+}
+
 /// With few open starts and answers of half a second, fewer than five arrive in 200 ms.
 ///
 /// The holder was never judged.
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -43,7 +43,8 @@
 
 /// Latency of hosts' answers at the control thread, measured in windows.
 ///
-/// A holder that is too slow detects it here, since even the quickest host then seems slow.
+/// A holder that is too slow detects it here, since even the quickest host then seems slow. An order that expired in
+/// this daemon's own queues counts as an answer that took as long.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AnswerTimeWindow {
     /// When the present window ends if it has enough answers, in monotonic milliseconds.
