Measure answers of long polls if no others come

Callers saw: nothing yet; found by reading. Tasks of lost hosts could wait for good. Cause: the latency of the last answers to short orders stayed. After a burst that had made them slow, with only long polls since, the silence of a quarter of the hosts was taken for the holder's fault and their leases were renewed on. Evidence: `slow_answers_are_forgotten_while_long_polls_are_answered_in_time` fails on the earlier code.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -90,6 +90,10 @@
                     if window.answer_count == 0 { latency_ms } else { window.min_latency_ms.min(latency_ms) };
                 window.answer_count += 1;
             }
+            Measure::PollDelay(delay_ms) => {
+                let min_delay_ms = window.min_poll_delay_ms.unwrap_or(delay_ms);
+                window.min_poll_delay_ms = Some(min_delay_ms.min(delay_ms));
+            }
             Measure::Nothing => {}
         }
     }
@@ -100,7 +104,11 @@
 enum Measure {
     /// Time from an order to its answer, or to its expiry in this daemon's own queues, in milliseconds.
     Latency(u64),
-    /// The host did not answer, or only a long poll.
+    /// Time of an answer to a long poll beyond the poll's wait, in milliseconds.
+    ///
+    /// It may be shorter than the latency, since the host answers earlier if a run ends.
+    PollDelay(u64),
+    /// The host did not answer.
     Nothing,
 }
 
@@ -110,7 +118,10 @@
     match completion.outcome {
         OrderOutcome::NotSent(UnsentCause::Expired) => Measure::Latency(elapsed_ms.saturating_sub(wait_ms)),
         OrderOutcome::Done { .. } | OrderOutcome::Refused(_) if wait_ms == 0 => Measure::Latency(elapsed_ms),
-        _ => Measure::Nothing,
+        OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => {
+            Measure::PollDelay(elapsed_ms.saturating_sub(wait_ms))
+        }
+        OrderOutcome::NotSent(_) | OrderOutcome::Unknown => Measure::Nothing,
     }
 }
 
@@ -181,7 +192,11 @@
     }
     let started_at_ms = window.window_end_ms.saturating_sub(WINDOW_MS);
     let slow_since_ms = slow.then(|| window.slow_since_ms.unwrap_or(started_at_ms));
-    let min_latency_ms = window.min_latency_ms;
+    // A high latency would stay for as long as only long polls are answered.
+    let min_latency_ms = match window.min_poll_delay_ms {
+        Some(delay_ms) if window.answer_count == 0 => delay_ms,
+        _ => window.min_latency_ms,
+    };
     *window = AnswerTimeWindow {
         window_end_ms: now_ms + WINDOW_MS,
         min_latency_ms,
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -415,3 +415,21 @@
     let tenure_ms = predecessor_tenure_ms(&mut daemon).unwrap();
     assert!((2_000..2_100).contains(&tenure_ms), "{tenure_ms} ms");
 }
+
+/// Answers were slow in a burst of work, after which only long polls are answered.
+///
+/// The latency stayed high, and hosts that became silent were taken for the holder's fault for good.
+#[test]
+fn slow_answers_are_forgotten_while_long_polls_are_answered_in_time() {
+    let mut holder = settled_holder();
+    answer_orders_for(&mut holder, 400, 90);
+    assert!(holder.app.world().holding.answer_times.is_congested());
+    for _ in 0..25 {
+        let mut poll = completion(&holder, 0, 0, OrderOutcome::Done { lists: None });
+        poll.order.order = Order::Poll { lease_until_ms: None, last_end_recorded: 0, wait_ms: 800 };
+        poll.issued_at_ms = holder.now_ms + TICK_MS - 810;
+        holder.app.push_event(Event::OrderCompleted(poll));
+        holder.tick(TICK_MS);
+    }
+    assert!(!holder.app.world().holding.answer_times.is_congested());
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -53,6 +53,8 @@
     pub answer_count: u32,
     /// Lowest latency among them, in milliseconds; that of the last window until one arrives.
     pub min_latency_ms: u64,
+    /// Shortest delay of a long poll beyond its wait in the present window, in milliseconds. `None` without one.
+    pub min_poll_delay_ms: Option<u64>,
     /// Begin of the consecutive windows in which even the lowest latency was too high, in monotonic milliseconds.
     pub slow_since_ms: Option<u64>,
 }
