Leave the slice to much weaker daemons only after long slowness

Callers saw: nothing yet; found by reading. A strong holder that is slow for 0.4 s released the slice although only machines of a quarter of its processor share or less were there to take it. Cause: the release looked for any other daemon. Change: if all others are much weaker, answers must be slow for 5 s. A machine that has lost most of its processor is still replaced, and takes the slice back after a minute as before. Evidence: `slow_holder_leaves_the_slice_to_much_weaker_daemons_only_after_long` fails on the earlier code.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -28,6 +28,11 @@
 /// Time of consecutive slow windows after which the holder transfers the slice, in milliseconds.
 const MAX_SLOW_MS: u64 = 2 * WINDOW_MS;
 
+/// As [`MAX_SLOW_MS`], if all other daemons have much weaker machines, in milliseconds.
+///
+/// They would serve better only in place of a machine that is slow for long.
+const MAX_SLOW_BESIDE_WEAKER_MS: u64 = 5_000;
+
 /// Time after a claim during which no window counts as slow, in milliseconds.
 ///
 /// The adoption explains slow answers then. Timeouts and the limit of open starts follow them all the same.
@@ -56,7 +61,7 @@
     let cause = find_slowness_cause(world, now_ms);
     close_window(&mut world.holding.answer_times, &mut world.runs.start_window, is_judged, cause, now_ms);
     let slow_since_ms = world.holding.answer_times.slow_since_ms;
-    let is_slow = slow_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MAX_SLOW_MS);
+    let is_slow = slow_since_ms.is_some_and(|since_ms| now_ms >= since_ms + max_slow_ms(world));
     if is_slow && can_release(world, now_ms) {
         let log_record = LogRecord::new(EventId::HolderSlow)
             .with("quickest_answer_ms", world.holding.answer_times.min_latency_ms);
@@ -80,6 +85,18 @@
     world.holding.claim_won_at_ms().map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
 }
 
+/// Returns for how long answers must be slow before this daemon releases the slice, in milliseconds.
+fn max_slow_ms(world: &World) -> u64 {
+    let own = &world.local;
+    let mut others =
+        world.members.iter().filter(|member| member.incarnation.member != own.incarnation.member);
+    if others.all(|other| own.limits.is_much_stronger_than(other.limits)) {
+        MAX_SLOW_BESIDE_WEAKER_MS
+    } else {
+        MAX_SLOW_MS
+    }
+}
+
 /// Adds the answers of this tick to the present window.
 fn count_answers(world: &mut World, now_ms: u64) {
     let window = &mut world.holding.answer_times;
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -416,6 +416,18 @@
     assert!((2_000..2_100).contains(&tenure_ms), "{tenure_ms} ms");
 }
 
+/// A holder that is slow for a moment lost the slice to a machine that is much weaker all the time.
+#[test]
+fn slow_holder_leaves_the_slice_to_much_weaker_daemons_only_after_long() {
+    let mut holder = settled_holder();
+    let weak = MachineLimits { cpu_milli: 240, link_mbps: 1_000 };
+    let mut record = holder.app.world().members.get(&MemberName::new("edge-1").unwrap()).unwrap().clone();
+    record.limits = weak;
+    holder.app.world_mut().members.insert(record, 0);
+    assert!(!answer_orders_for(&mut holder, 3_000, 150), "a short slowness");
+    assert!(answer_orders_for(&mut holder, 5_000, 150), "a machine may lose most of its processor for good");
+}
+
 /// Answers were slow in a burst of work, after which only long polls are answered.
 ///
 /// The latency stayed high, and hosts that became silent were taken for the holder's fault for good.
