Release the slice if no host answers

A holder without a path to the hosts kept the slice for as long as the path was cut, and gave up runs of healthy hosts. Cause: without an answer the latency stays that of the last answers, so the holder never seemed slow, and the silence counted against every single host. Change: if all hosts with runs, five at least, have been silent for a second, the fault is taken for the holder's: it releases the slice to another daemon, unless the slice has just gone round, and renews the hosts' leases for 3 s in place of 1.2 s, for orders that arrive though their answers don't. One host that answers shows that the path is there. Evidence: `holder_that_no_host_answers_releases_the_slice` and `silence_of_all_hosts_does_not_end_their_leases_at_once` fail on the earlier code.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -1,6 +1,7 @@
 //! Detection of a slow holder, which then transfers the slice to another daemon.
 //!
-//! With too little processor time or link bandwidth on the holder's machine, even the quickest host seems slow.
+//! With too little processor time or link bandwidth on the holder's machine, even the quickest host seems slow. Without a
+//! path to the hosts, all of them seem silent.
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::holding::AnswerTimeWindow;
@@ -46,7 +47,7 @@
 /// How long a slow holder delays its later claims, in milliseconds. Other daemons claim first then.
 const CLAIM_DELAY_PERIOD_MS: u64 = 15_000;
 
-/// Detects from the hosts' answers that this daemon is too slow a holder.
+/// Detects from the hosts' answers that this daemon is too slow a holder, or can't reach the hosts.
 ///
 /// A daemon without live peers keeps the slice, however slow it is.
 pub fn detect_slow_holder(world: &mut World, now_ms: u64) {
@@ -62,9 +63,11 @@
     close_window(&mut world.holding.answer_times, &mut world.runs.start_window, is_judged, cause, now_ms);
     let slow_since_ms = world.holding.answer_times.slow_since_ms;
     let is_slow = slow_since_ms.is_some_and(|since_ms| now_ms >= since_ms + max_slow_ms(world));
-    if is_slow && can_release(world, now_ms) {
+    let is_cut_off = !is_judged && cause == SlownessCause::Machine && world.hosts.are_all_silent(now_ms);
+    if (is_slow || is_cut_off) && can_release(world, now_ms) {
         let log_record = LogRecord::new(EventId::HolderSlow)
-            .with("quickest_answer_ms", world.holding.answer_times.min_latency_ms);
+            .with("quickest_answer_ms", world.holding.answer_times.min_latency_ms)
+            .with("cause", if is_cut_off { "no host answers" } else { "slow answers" });
         world.log(log_record);
         world.holding.releasing_since_ms = Some(now_ms);
         world.holding.yield_until_ms = now_ms + CLAIM_DELAY_PERIOD_MS;
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -41,6 +41,11 @@
 /// Its runs then end soon. It does not apply while the silence is the holder's own fault.
 const RENEWAL_CUTOFF_MS: u64 = 1_200;
 
+/// As [`RENEWAL_CUTOFF_MS`], while no host answers at all.
+///
+/// Another daemon that reaches the hosts may claim the slice meanwhile, and adopt their runs.
+const COMMON_RENEWAL_CUTOFF_MS: u64 = 3_000;
+
 /// Share of the hosts with runs from which their silence is taken for the holder's own slowness, in percent.
 ///
 /// Their runs would all be given up otherwise, although only the holder's link or processor is at fault.
@@ -89,6 +94,8 @@
     let max_adoption_polls = world.runs.start_window.limit() as usize;
     let mut adoption_polls = count_open_adoption_polls(world);
     let renews_silent_hosts = is_silence_own_fault(world);
+    let renewal_cutoff_ms =
+        if world.hosts.are_all_silent(now_ms) { COMMON_RENEWAL_CUTOFF_MS } else { RENEWAL_CUTOFF_MS };
     for key in world.hosts.engaged_keys() {
         let Some(host) = world.hosts.get_mut(key) else { continue };
         let is_adoption_poll = awaits_first_adoption_poll(host);
@@ -107,7 +114,7 @@
         host.poll.sent_ms = Some(now_ms);
         adoption_polls += usize::from(is_adoption_poll);
         let unresponsive_ms = host.unresponsive_since_ms.map_or(0, |since_ms| now_ms - since_ms);
-        let renews_lease = host.clock_known && (unresponsive_ms < RENEWAL_CUTOFF_MS || renews_silent_hosts);
+        let renews_lease = host.clock_known && (unresponsive_ms < renewal_cutoff_ms || renews_silent_hosts);
         let lease_until_ms = renews_lease.then(|| host.clock_ms(now_ms) + lease_ms);
         if renews_lease && !host.runs.is_empty() {
             let lease_end_ms = now_ms + world.local.bounds.max_run_lease_ms();
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -296,3 +296,12 @@
 fn hosts_of_a_lost_failure_domain_are_left_to_their_leases() {
     assert!(!silent_hosts_keep_their_leases(4, 5));
 }
+
+/// No host answers at all, so that the latency stays that of the last answers, which were quick.
+///
+/// The silence counted against the hosts, although one path was lost and not six hosts, and their runs were given up.
+#[test]
+fn silence_of_all_hosts_does_not_end_their_leases_at_once() {
+    assert!(silent_hosts_keep_their_leases(8, 5));
+    assert!(!silent_hosts_keep_their_leases(7, 5), "one host still answers quickly");
+}
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -428,6 +428,55 @@
     assert!(answer_orders_for(&mut holder, 5_000, 150), "a machine may lose most of its processor for good");
 }
 
+/// Creates a settled holder of six busy hosts, with one other member, of which so many became silent one second ago.
+fn holder_with_silent_hosts(silent_hosts: u64) -> TestDaemon {
+    let mut holder = settled_holder();
+    holder.add_job(1, vec![crate::support::step(48)]);
+    holder.tick(10);
+    holder.confirm_starts();
+    let silent: Vec<_> = (0..silent_hosts).map(|number| holder.host(number)).collect();
+    let now_ms = holder.now_ms;
+    for key in silent {
+        let host = holder.app.world_mut().hosts.get_mut(key).unwrap();
+        assert!(!host.runs.is_empty());
+        host.unresponsive_since_ms = Some(now_ms);
+    }
+    holder
+}
+
+/// Runs the holder without answers of hosts for some time. Returns whether the claim was released.
+fn release_without_answers(holder: &mut TestDaemon, time_ms: u64) -> bool {
+    let until_ms = holder.now_ms + time_ms;
+    while holder.now_ms < until_ms {
+        holder.tick(TICK_MS);
+        if holder.store_calls().any(|call| call.purpose == StorePurpose::ReleaseClaim) {
+            return true;
+        }
+    }
+    false
+}
+
+/// The holder's path to all hosts is cut while the store answers. No answer comes that could show a slow holder, and
+/// it kept the slice, with no work done, for as long as the cut lasted.
+#[test]
+fn holder_that_no_host_answers_releases_the_slice() {
+    assert!(release_without_answers(&mut holder_with_silent_hosts(6), 2_500));
+}
+
+/// A failure domain is lost, and another daemon could not reach its hosts either.
+#[test]
+fn holder_that_some_hosts_answer_keeps_the_slice() {
+    assert!(!release_without_answers(&mut holder_with_silent_hosts(5), 5_000));
+}
+
+/// All hosts are down, and the slice would go round.
+#[test]
+fn holder_after_a_short_predecessor_keeps_the_slice_while_no_host_answers() {
+    let mut holder = holder_with_silent_hosts(6);
+    holder.app.world_mut().holding.predecessor_tenure_ms = Some(3_000);
+    assert!(!release_without_answers(&mut holder, 6_000));
+}
+
 /// Answers were slow in a burst of work, after which only long polls are answered.
 ///
 /// The latency stayed high, and hosts that became silent were taken for the holder's fault for good.
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -50,6 +50,12 @@
     Adopted,
 }
 
+/// Time after which silence of all hosts is taken for a fault of this daemon or its path, in milliseconds.
+const COMMON_SILENCE_MS: u64 = 1_000;
+
+/// Fewest hosts whose common silence is taken for a fault of this daemon or its path.
+const MIN_COMMONLY_SILENT_HOSTS: usize = 5;
+
 /// State of the regular polls of a host; at most one is open.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Poll {
@@ -382,6 +388,27 @@
         self.engaged.iter().filter_map(|key| Some((*key, self.rows.get(*key)?)))
     }
 
+    /// Returns whether every host with runs has been silent for a while, and these are several.
+    ///
+    /// The path between this daemon and the hosts is lost then, rather than all hosts.
+    #[must_use]
+    pub fn are_all_silent(&self, now_ms: u64) -> bool {
+        let is_silent = |host: &Host| {
+            host.unresponsive_since_ms.is_some_and(|since_ms| now_ms >= since_ms + COMMON_SILENCE_MS)
+        };
+        let mut silent_count = 0;
+        for (visited, key) in self.engaged.iter().enumerate() {
+            let Some(host) = self.rows.get(*key).filter(|host| !host.runs.is_empty()) else { continue };
+            if !is_silent(host) {
+                self.rows_visited.set(self.rows_visited.get() + visited as u64 + 1);
+                return false;
+            }
+            silent_count += 1;
+        }
+        self.count_visit();
+        silent_count >= MIN_COMMONLY_SILENT_HOSTS
+    }
+
     /// Collects the keys of the engaged hosts.
     ///
     /// The copy lets a caller change rows while it goes through the keys.
