--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -67,7 +67,9 @@
     if (is_slow || is_cut_off) && can_release(world, now_ms) {
         let log_record = LogRecord::new(EventId::HolderSlow)
             .with("quickest_answer_ms", world.holding.answer_times.min_latency_ms)
-            .with("cause", if is_cut_off { "no host answers" } else { "slow answers" });
+            .with("cause", if is_cut_off { "no host answers" } else { "slow answers" })
+            .with("tenure_ms", tenure_ms(world, now_ms))
+            .with("start_limit", world.runs.start_window.limit());
         world.log(log_record);
         world.holding.releasing_since_ms = Some(now_ms);
         world.holding.yield_until_ms = now_ms + CLAIM_DELAY_PERIOD_MS;
