Answer a cancellation that may be stored as uncertain

What callers saw: a DELETE whose write to the store was not answered by the deadline got 503, which says that the call had no effect; the job could be cancelled all the same. The same held for a call that a peer had taken over and not answered.

Cause: only submissions kept whether an earlier attempt may take effect; a timed-out cancellation was always answered as a state that can't be read.

Change: an open call holds `may_be_stored` whatever it stores; a call with an attempt in flight, here or at a peer, or with an earlier one that may take effect is answered with 504 at its deadline. A peer's refusal counts by what its kind promises. A cancellation that the control thread drops without an answer is uncertain as well.

Why it works: 503 is now given only where no attempt was made or every one was certainly without effect.

--- a/crates/cassiahoist_core/src/error.rs
+++ b/crates/cassiahoist_core/src/error.rs
@@ -8,9 +8,9 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobOutcome {
-    /// The job was not accepted and never runs.
+    /// The call had no effect: the job was not accepted and never runs, or was not cancelled.
     NotRun,
-    /// The job may have been accepted. Repeating the call with the same identity is safe.
+    /// The call may have taken effect. Repeating it with the same identity is safe.
     Unknown,
 }
 
@@ -99,7 +99,7 @@
     StoreAway, NotRun, 503, true, "the store is away; the job was not accepted";
     StateAway, NotRun, 503, true, "the state can't be read at present";
     Overloaded, NotRun, 503, true, "too many calls are in hand";
-    RecordUncertain, Unknown, 504, true, "the job may have been accepted; ask again with the same identity";
+    RecordUncertain, Unknown, 504, true, "the call may have taken effect; ask again with the same identity";
 }
 
 quick_error! {
--- a/crates/cassiahoist_jobs/src/accept.rs
+++ b/crates/cassiahoist_jobs/src/accept.rs
@@ -40,7 +40,7 @@
         claim: Fence(0),
     });
     let id = record.id;
-    let stage = CallStage::Storing { record, may_be_stored: false };
+    let stage = CallStage::Storing { record };
     world.calls.insert(OpenCall::new(call.number, id, stage, call.deadline_ms, now_ms));
     if !try_relay_call(world, call.number, now_ms) {
         store_job(world, call.number, now_ms);
@@ -57,7 +57,7 @@
     }
     let claim = world.holding.claim.as_ref().map_or(0, |(_, revision)| *revision);
     let Some(call) = world.calls.open.get_mut(&number) else { return };
-    let CallStage::Storing { record, .. } = &mut call.stage else { return };
+    let CallStage::Storing { record } = &mut call.stage else { return };
     Arc::make_mut(record).claim = Fence(claim);
     let key = StoreKey::Job(call.job);
     let transaction = Transaction::default()
@@ -79,7 +79,7 @@
 
 fn apply_accept_answer(world: &mut World, number: CallNumber, completion: StoreCompletion, now_ms: u64) {
     let Some(call) = world.calls.open.get_mut(&number) else { return };
-    let CallStage::Storing { record, may_be_stored } = &mut call.stage else { return };
+    let CallStage::Storing { record } = &call.stage else { return };
     match completion.outcome {
         Ok(StoreReply::Committed { .. }) => {
             let record = Arc::clone(record);
@@ -99,7 +99,7 @@
             store_job(world, number, now_ms);
         }
         Ok(_) | Err(StoreFailure::Unknown) => {
-            *may_be_stored = true;
+            call.may_be_stored = true;
             call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
         }
         Err(StoreFailure::NotApplied | StoreFailure::NotSent(_)) => retry_or_refuse(world, number, now_ms),
@@ -109,8 +109,7 @@
 /// Schedules a retry, or refuses a job that no attempt can have stored.
 fn retry_or_refuse(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(call) = world.calls.open.get_mut(&number) else { return };
-    let CallStage::Storing { may_be_stored, .. } = call.stage else { return };
-    if !may_be_stored && now_ms + STORE_RETRY_MS >= call.arrived_at_ms + REFUSE_AFTER_MS {
+    if !call.may_be_stored && now_ms + STORE_RETRY_MS >= call.arrived_at_ms + REFUSE_AFTER_MS {
         return refuse_call(world, number, ErrorKind::StoreAway, "the store is unreachable", now_ms);
     }
     call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -181,12 +181,8 @@
 fn time_out_call(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(call) = world.calls.open.get(&number) else { return };
     let kind = match call.stage {
-        CallStage::Storing { may_be_stored: true, .. } => ErrorKind::RecordUncertain,
-        // An attempt is in flight and may still store the job.
-        CallStage::Storing { may_be_stored: false, .. } if call.retry_at_ms.is_none() => {
-            ErrorKind::RecordUncertain
-        }
-        CallStage::Storing { may_be_stored: false, .. } => ErrorKind::StoreAway,
+        _ if call.may_be_stored || call.is_storing() => ErrorKind::RecordUncertain,
+        CallStage::Storing { .. } => ErrorKind::StoreAway,
         _ => ErrorKind::StateAway,
     };
     refuse_call(world, number, kind, "deadline exceeded", now_ms);
--- a/crates/cassiahoist_jobs/src/cancel.rs
+++ b/crates/cassiahoist_jobs/src/cancel.rs
@@ -5,7 +5,7 @@
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::store::{
-    StoreCompletion, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue, Transaction,
+    StoreCompletion, StoreFailure, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue, Transaction,
 };
 
 use crate::calls::{STORE_RETRY_MS, refuse_call};
@@ -71,6 +71,12 @@
             world.answer_call(number, CallAnswer::Cancelled);
             notify_holder(world, PeerMessage::JobCancelled(job), now_ms);
         }
-        Ok(_) | Err(_) => call.retry_at_ms = Some(now_ms + STORE_RETRY_MS),
+        Err(StoreFailure::NotApplied | StoreFailure::NotSent(_)) => {
+            call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
+        }
+        Ok(_) | Err(StoreFailure::Unknown) => {
+            call.may_be_stored |= call.stage == CallStage::Cancelling;
+            call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
+        }
     }
 }
--- a/crates/cassiahoist_jobs/src/relay.rs
+++ b/crates/cassiahoist_jobs/src/relay.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use cassiahoist_core::error::JobOutcome;
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::calls::{
     CallAnswer, CallNumber, CallOrigin, CallStage, OpenCall, RELAYED_CALL_BASE, RelayAction,
@@ -28,7 +29,7 @@
 
 fn relay_action(call: &OpenCall) -> RelayAction {
     match &call.stage {
-        CallStage::Storing { record, .. } => RelayAction::Store(Arc::clone(record)),
+        CallStage::Storing { record } => RelayAction::Store(Arc::clone(record)),
         CallStage::QueryingHolder { .. } | CallStage::ReadingProgress | CallStage::ReadingJob => {
             RelayAction::Query(call.job)
         }
@@ -70,14 +71,12 @@
 
 /// Schedules a retry of a relayed call whose peer has not replied.
 ///
-/// What the peer did is unknown, so a job may have been stored.
+/// What the peer did is unknown, so it may have stored the job or the cancellation.
 pub(crate) fn time_out_relay(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(call) = world.calls.open.get_mut(&number) else { return };
+    call.may_be_stored |= call.is_storing();
     call.relay_deadline_ms = None;
     call.retry_at_ms = Some(now_ms);
-    if let CallStage::Storing { may_be_stored, .. } = &mut call.stage {
-        *may_be_stored = true;
-    }
 }
 
 /// Serves peers' relayed calls and applies the replies to this daemon's own.
@@ -107,7 +106,7 @@
     world.calls.relayed_call_count += 1;
     let number = RELAYED_CALL_BASE + world.calls.relayed_call_count;
     let (job, stage) = match action {
-        RelayAction::Store(record) => (record.id, CallStage::Storing { record, may_be_stored: false }),
+        RelayAction::Store(record) => (record.id, CallStage::Storing { record }),
         RelayAction::Query(job) => (job, CallStage::QueryingHolder { deadline_ms: now_ms }),
         RelayAction::Cancel(job) => (job, CallStage::CheckingJobExists),
     };
@@ -134,10 +133,7 @@
         CallAnswer::Error { kind: ErrorKind::UnknownJob, .. } => world.answer_call(number, answer),
         CallAnswer::Error { kind, .. } => {
             call.retry_at_ms = Some(now_ms);
-            if let CallStage::Storing { may_be_stored, .. } = &mut call.stage {
-                // A peer that refuses with `StoreAway` has not stored the job.
-                *may_be_stored |= kind != ErrorKind::StoreAway;
-            }
+            call.may_be_stored |= kind.answer().outcome == JobOutcome::Unknown;
         }
         final_answer => world.answer_call(number, final_answer),
     }
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -10,7 +10,7 @@
 use cassiahoist_world::orders::{Order, RunEnding};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::record::MemberRecord;
-use cassiahoist_world::store::StorePurpose;
+use cassiahoist_world::store::{StoreFailure, StorePurpose};
 
 use crate::support::{FENCE, TestDaemon, end, ended_lists, job_record, step, task_name};
 
@@ -189,3 +189,81 @@
         .receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(9_999)) });
     assert_eq!(holder.app.world().jobs.early_cancellations.len(), 1);
 }
+
+/// Requests the cancellation of a job in the queue of short jobs.
+fn request_cancellation(daemon: &mut TestDaemon, call: u64, job: JobId) {
+    let deadline_ms = daemon.now_ms + 1_000;
+    daemon.receive_event(Event::CallReceived(CallRequest {
+        number: call,
+        host_name: "desk.example".into(),
+        path: format!("/checks/{job}"),
+        action: CallAction::Cancel,
+        body_bytes: 0,
+        deadline_ms,
+    }));
+}
+
+/// Lets time pass until a call is answered, and returns the kind of the error.
+fn wait_for_error(daemon: &mut TestDaemon, call: u64) -> ErrorKind {
+    for _ in 0..60 {
+        match answer_to(daemon, call) {
+            Some(CallAnswer::Error { kind, .. }) => return kind,
+            Some(answer) => panic!("answered with {answer:?}"),
+            None => drop(daemon.tick(50).len()),
+        }
+    }
+    panic!("no answer before the deadline")
+}
+
+/// The store took the cancellation and its answer was late. The caller was told that the call had no effect.
+#[test]
+fn cancellation_that_may_be_stored_is_not_refused() {
+    let mut holder = TestDaemon::with_running_tasks(1, 1);
+    configure(&mut holder);
+    request_cancellation(&mut holder, 9, JobId(1));
+    assert_eq!(holder.commits(|call| call.purpose == StorePurpose::CancelJob(9)).len(), 1);
+    assert_eq!(wait_for_error(&mut holder, 9), ErrorKind::RecordUncertain, "an attempt is in flight");
+
+    request_cancellation(&mut holder, 10, JobId(1));
+    let commit = holder.commits(|call| call.purpose == StorePurpose::CancelJob(10)).remove(0);
+    holder.answer_store(commit, Err(StoreFailure::Unknown));
+    holder.tick(250);
+    let again = holder.commits(|call| call.purpose == StorePurpose::CancelJob(10)).remove(0);
+    holder.answer_store(again, Err(StoreFailure::NotApplied));
+    assert_eq!(
+        wait_for_error(&mut holder, 10),
+        ErrorKind::RecordUncertain,
+        "the first attempt may take effect"
+    );
+}
+
+/// No attempt to store the cancellation was made, so that the refusal is true.
+#[test]
+fn cancellation_that_was_not_sent_is_refused() {
+    let mut standby = TestDaemon::standby();
+    configure(&mut standby);
+    request_cancellation(&mut standby, 9, JobId(1));
+    assert_eq!(standby.store_calls().filter(|call| call.purpose == StorePurpose::CancelJob(9)).count(), 1);
+    assert_eq!(wait_for_error(&mut standby, 9), ErrorKind::StateAway);
+}
+
+/// A peer that was asked to cancel the job does not reply, and may have cancelled it all the same.
+#[test]
+fn relayed_cancellation_without_a_reply_is_not_refused() {
+    let mut standby = TestDaemon::standby();
+    configure(&mut standby);
+    let world = standby.app.world_mut();
+    world.members.insert(
+        MemberRecord {
+            incarnation: "edge-1#1".parse().unwrap(),
+            peer_address: "10.1.0.1:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
+    world.store_connection.failing_since_ms = Some(500);
+    request_cancellation(&mut standby, 9, JobId(1));
+    assert!(standby.store_calls().all(|call| call.purpose != StorePurpose::CancelJob(9)));
+    assert_eq!(wait_for_error(&mut standby, 9), ErrorKind::RecordUncertain);
+}
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -106,14 +106,14 @@
 
     /// Forwards a call to the control thread and waits for its answer.
     async fn forward(&self, mut call: CallRequest) -> CallAnswer {
-        let submits = matches!(call.action, CallAction::Submit(Ok(_)));
+        let writes = matches!(call.action, CallAction::Submit(Ok(_)) | CallAction::Cancel);
         let pending = self.control.register_call();
         call.number = pending.number;
         if !self.control.try_send(Event::CallReceived(call)) {
             return CallAnswer::Error { kind: ErrorKind::Overloaded, retry_after_ms: Some(1_000) };
         }
-        // Without an answer, a submitted job may have been stored.
-        let unanswered = if submits { ErrorKind::RecordUncertain } else { ErrorKind::StateAway };
+        // Without an answer, a job or a cancellation may have been stored.
+        let unanswered = if writes { ErrorKind::RecordUncertain } else { ErrorKind::StateAway };
         pending.answer().await.unwrap_or(CallAnswer::Error { kind: unanswered, retry_after_ms: None })
     }
 }
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -103,8 +103,6 @@
     Storing {
         /// Job record to store.
         record: Arc<JobRecord>,
-        /// Whether an earlier attempt may still take effect. Then a refusal would be wrong.
-        may_be_stored: bool,
     },
     /// The holder was queried for the state of the job.
     QueryingHolder {
@@ -132,6 +130,8 @@
     pub origin: CallOrigin,
     /// Stage that the call has reached.
     pub stage: CallStage,
+    /// Whether an earlier attempt to store the job or the cancellation may still take effect. Then a refusal would be wrong.
+    pub may_be_stored: bool,
     /// Deadline for the answer of a peer, in monotonic milliseconds. `None` if no relay request is open.
     pub relay_deadline_ms: Option<u64>,
     /// Number of relay requests sent for the call so far.
@@ -153,6 +153,7 @@
             job,
             origin: CallOrigin::Caller,
             stage,
+            may_be_stored: false,
             relay_deadline_ms: None,
             relay_count: 0,
             arrived_at_ms: now_ms,
@@ -161,6 +162,17 @@
         }
     }
 
+    /// Returns whether an attempt to store the job or the cancellation is in flight, here or at a peer.
+    #[must_use]
+    pub fn is_storing(&self) -> bool {
+        let is_waiting = self.retry_at_ms.is_none();
+        match self.stage {
+            CallStage::Storing { .. } | CallStage::Cancelling => is_waiting,
+            CallStage::CheckingJobExists => is_waiting && self.relay_deadline_ms.is_some(),
+            CallStage::QueryingHolder { .. } | CallStage::ReadingProgress | CallStage::ReadingJob => false,
+        }
+    }
+
     /// Replaces the receiver of the answer.
     #[must_use]
     pub fn with_origin(self, origin: CallOrigin) -> Self {
