Limit callers' connections to their share of the descriptors

What callers would see: callers that keep more connections open than the process has descriptors take those of hosts, peers and the store. Orders and renewals of the lease then fail, so that jobs of all callers wait, and no connection is accepted.

Cause: connections to hosts have a share of the descriptors, those of callers had none.

Change: callers' connections have a limit, 15% of the descriptors that hosts, peers and callers share.

All tests of the crate pass.

--- a/crates/cassiahoist_core/src/descriptors.rs
+++ b/crates/cassiahoist_core/src/descriptors.rs
@@ -18,11 +18,23 @@
 /// Share of the other descriptors that is reserved for connections from and to peers, in percent.
 const PEERS_PERCENT: usize = 10;
 
+/// Returns how many descriptors callers, peers and hosts share.
+const fn shared_descriptors(max_descriptors: usize) -> usize {
+    max_descriptors.saturating_sub(FILE_DESCRIPTORS + SERVICE_DESCRIPTORS)
+}
+
 /// Returns how many connections to hosts may be open at a time.
 ///
 /// The rest of the limit is reserved, so that hosts never take the descriptors of callers, peers, store and advice.
 #[must_use]
 pub const fn max_host_connections(max_descriptors: usize) -> usize {
-    let unreserved = max_descriptors.saturating_sub(FILE_DESCRIPTORS + SERVICE_DESCRIPTORS);
-    unreserved * (100 - CALLERS_PERCENT - PEERS_PERCENT) / 100
+    shared_descriptors(max_descriptors) * (100 - CALLERS_PERCENT - PEERS_PERCENT) / 100
+}
+
+/// Returns how many connections of callers may be open at a time.
+///
+/// The rest of the limit is reserved, so that callers never take the descriptors of hosts, peers, store and advice.
+#[must_use]
+pub const fn max_caller_connections(max_descriptors: usize) -> usize {
+    shared_descriptors(max_descriptors) * CALLERS_PERCENT / 100
 }
--- a/crates/cassiahoist_core/tests/core.rs
+++ b/crates/cassiahoist_core/tests/core.rs
@@ -74,3 +74,15 @@
     }
     assert_eq!(max_host_connections(0), 0);
 }
+
+/// Connections of callers and hosts took descriptors from each other and from the store.
+#[test]
+fn shares_of_the_descriptors_fit_within_the_limit() {
+    use cassiahoist_core::descriptors::{MIN_MAX_DESCRIPTORS, max_caller_connections, max_host_connections};
+    for max_descriptors in [MIN_MAX_DESCRIPTORS, 1_024, 4_100, 8_200] {
+        let (callers, hosts) =
+            (max_caller_connections(max_descriptors), max_host_connections(max_descriptors));
+        assert!(callers >= 16 && hosts > callers, "{max_descriptors}: {callers} and {hosts}");
+        assert!(callers + hosts < max_descriptors - 300, "{max_descriptors}: {callers} and {hosts}");
+    }
+}
--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -5,13 +5,14 @@
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 
-use cassiahoist_core::descriptors::max_host_connections;
+use cassiahoist_core::descriptors::{max_caller_connections, max_host_connections};
 use cassiahoist_core::prelude::*;
 use cassiahoist_platform::settings::read_platform_settings;
 use cassiahoist_platform::{READY_PATH, SitePlatform, advice, callers, hosts, store};
 use cassiahoist_settings::{LogLevel, Settings, SettingsError, read_settings};
 use cassiahoist_telemetry::{LogWriter, Metrics};
 use cassiahoist_traffic::advice_client::AdviceClient;
+use cassiahoist_traffic::caller_connections::CallerConnections;
 use cassiahoist_traffic::caller_server::CallerServer;
 use cassiahoist_traffic::clock::MonotonicClock;
 use cassiahoist_traffic::control_link::{ControlInput, ControlLink};
@@ -145,7 +146,13 @@
     });
     let metrics = Metrics::new().map_err(HoistError::Unreachable)?;
     let table_metrics = TableMetrics::new(&metrics);
-    let caller_server = CallerServer { protocol: callers::CallerCodec, clock, control: control.clone() };
+    let caller_server = CallerServer {
+        protocol: callers::CallerCodec,
+        clock,
+        control: control.clone(),
+        connections: CallerConnections::new(max_caller_connections(settings.daemon.max_descriptors)),
+        log: log.clone(),
+    };
     let operator_server = OperatorServer { control: control.clone(), metrics, ready_path: READY_PATH };
     drop(runtime.spawn(caller_server.serve(bind(runtime, settings.listen.callers)?, caller_stop)));
     drop(runtime.spawn(operator_server.clone().serve(bind(runtime, settings.listen.readiness)?)));
--- a/crates/cassiahoist_traffic/src/lib.rs
+++ b/crates/cassiahoist_traffic/src/lib.rs
@@ -6,6 +6,7 @@
 //! defines its message formats by implementing the traits of [`protocol`].
 
 pub mod advice_client;
+pub mod caller_connections;
 pub mod caller_server;
 pub mod clock;
 pub mod control_link;
