Let a repeated delivery to a peer take effect once

What callers would see: a job that was refused with 503, so that it never runs, was stored and started; only while the store fails for some daemons and an acknowledgement between two daemons is lost.

Cause: a delivery without an acknowledgement is sent again on a new connection, and its messages took effect twice. A relayed job that the peer had refused was stored when it came again. A refusal that came again counted as that of the next peer, which the call had been relayed to meanwhile.

Change: deliveries carry a number, the same when repeated, and a daemon drops those that it has received. A sender of an earlier version gives no number, and nothing changes for it.

Why it works: whichever attempt arrives first takes effect, and the other one can't.

--- a/crates/cassiahoist_traffic/src/lib.rs
+++ b/crates/cassiahoist_traffic/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod peer_links;
 pub mod peer_server;
 pub mod protocol;
+mod recent_deliveries;
 pub mod store_client;
--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -1,8 +1,10 @@
 //! Outgoing connections to peers.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use cassiahoist_wire::DeliverRequest;
 use cassiahoist_wire::peer::encode_delivery;
 use cassiahoist_wire::peer_client::PeerClient;
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
@@ -29,6 +31,8 @@
 pub struct PeerLinks {
     local: PeerSender,
     idle_timeout: Duration,
+    /// Number of the latest delivery to any peer.
+    last_number: Arc<AtomicU64>,
     queues: Arc<Mutex<FxHashMap<String, mpsc::Sender<PeerMessage>>>>,
 }
 
@@ -36,7 +40,12 @@
     /// Creates links that name `local` as the sender of messages.
     #[must_use]
     pub fn new(local: PeerSender) -> Self {
-        Self { local, idle_timeout: DEFAULT_IDLE_TIMEOUT, queues: Arc::default() }
+        Self {
+            local,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            last_number: Arc::default(),
+            queues: Arc::default(),
+        }
     }
 
     /// Sets the time without messages after which the connection to a peer is closed.
@@ -47,7 +56,7 @@
 
     /// Queues a message for the peer at `address`, `ip:port`.
     ///
-    /// It may be dropped without notice, and may arrive twice.
+    /// It may be dropped without notice.
     pub fn send(&self, address: &str, message: PeerMessage) {
         if let Some(queue) = self.get_or_open_queue(address) {
             // If the queue is full, the message is dropped; the peer reads the same from the store later.
@@ -67,42 +76,41 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true);
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        drop(tokio::spawn(deliver_messages(endpoint, self.local.clone(), self.idle_timeout, messages)));
+        drop(tokio::spawn(self.clone().deliver_messages(endpoint, messages)));
         queues.insert(address.into(), queue.clone());
         Some(queue)
     }
-}
 
-/// Delivers messages in order, all that are queued in one request, until none came for `idle_timeout`.
-async fn deliver_messages(
-    endpoint: Endpoint,
-    local: PeerSender,
-    idle_timeout: Duration,
-    mut messages: mpsc::Receiver<PeerMessage>,
-) {
-    let mut client = PeerClient::new(endpoint.connect_lazy());
-    let mut batch = Vec::new();
-    loop {
-        match tokio::time::timeout(idle_timeout, messages.recv_many(&mut batch, MAX_QUEUED_MESSAGES)).await {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(_idle) => {
-                // Messages that were queued meanwhile are still delivered.
-                messages.close();
+    /// Delivers messages in order, all that are queued in one request, until none came for the idle timeout.
+    async fn deliver_messages(self, endpoint: Endpoint, mut messages: mpsc::Receiver<PeerMessage>) {
+        let mut client = PeerClient::new(endpoint.connect_lazy());
+        let mut batch = Vec::new();
+        loop {
+            let received = messages.recv_many(&mut batch, MAX_QUEUED_MESSAGES);
+            match tokio::time::timeout(self.idle_timeout, received).await {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(_idle) => {
+                    // Messages that were queued meanwhile are still delivered.
+                    messages.close();
+                    continue;
+                }
+            }
+            let Ok(delivery) = encode_delivery(&self.local.incarnation, &self.local.address, &batch) else {
+                batch.clear();
                 continue;
+            };
+            let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
+            let request = DeliverRequest { number, ..delivery };
+            let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request.clone())).await;
+            if !matches!(delivered, Ok(Ok(_))) {
+                // The connection may be dead, so retry once on a new one. The peer recognizes the number if it has
+                // received the delivery, so that no message takes effect twice.
+                client = connect_client(&endpoint);
+                let _outcome = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
             }
-        }
-        let Ok(request) = encode_delivery(&local.incarnation, &local.address, &batch) else {
             batch.clear();
-            continue;
-        };
-        let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request.clone())).await;
-        if !matches!(delivered, Ok(Ok(_))) {
-            // The connection may be dead, so retry once on a new one. Messages may arrive twice; receivers handle that.
-            client = connect_client(&endpoint);
-            let _outcome = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
         }
-        batch.clear();
     }
 }
 
--- a/crates/cassiahoist_traffic/src/peer_server.rs
+++ b/crates/cassiahoist_traffic/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 
 use cassiahoist_core::prelude::*;
@@ -10,13 +11,14 @@
 use cassiahoist_wire::{DeliverReply, DeliverRequest};
 use cassiahoist_world::event::Event;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 use tonic::codegen::tokio_stream::Stream;
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 use crate::caller_server::ACCEPT_RETRY_DELAY;
 use crate::control_link::ControlLink;
+use crate::recent_deliveries::{DeliveryStatus, RecentDeliveries};
 
 /// Largest delivery of a peer, in bytes.
 const MAX_DELIVERY_BYTES: usize = 4 << 20;
@@ -25,13 +27,14 @@
 #[derive(Clone, Debug)]
 pub struct PeerEndpoint {
     control: ControlLink,
+    recent: Arc<Mutex<RecentDeliveries>>,
 }
 
 impl PeerEndpoint {
     /// Creates an endpoint that forwards messages to `control`.
     #[must_use]
     pub fn new(control: ControlLink) -> Self {
-        Self { control }
+        Self { control, recent: Arc::default() }
     }
 
     /// Serves peers until the process ends.
@@ -88,6 +91,13 @@
         let delivery = decode_delivery(&request.into_inner())
             .map_err(|error| Status::invalid_argument(error.to_string()))?;
         let from = delivery.sender;
+        let status = {
+            let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+            recent.record(&from.incarnation, delivery.number, Instant::now())
+        };
+        if status == DeliveryStatus::Repeated {
+            return Ok(Response::new(DeliverReply {}));
+        }
         for error in delivery.unreadable {
             let (from, reason) = (from.clone(), error.to_string());
             self.control.send(Event::UnreadablePeerMessage { from, reason });
--- a/crates/cassiahoist_wire/src/peer.rs
+++ b/crates/cassiahoist_wire/src/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::DeliverRequest;
 
-/// Encodes messages into one delivery.
+/// Encodes messages into one delivery, without a number.
 ///
 /// `from` and `address` (`ip:port`) identify the sender.
 ///
@@ -22,7 +22,7 @@
             serde_json::to_vec(message).map_err(|error| HoistError::InvalidMessage(error.to_string()))
         })
         .collect::<Result<_, _>>()?;
-    Ok(DeliverRequest { from: from.to_string(), messages, address: address.into() })
+    Ok(DeliverRequest { from: from.to_string(), messages, address: address.into(), number: 0 })
 }
 
 /// Messages of one delivery.
@@ -30,6 +30,8 @@
 pub struct Delivery {
     /// Daemon that sent them.
     pub sender: PeerSender,
+    /// Number among the sender's deliveries, the same if it is repeated; 0 if the sender numbers none.
+    pub number: u64,
     /// Readable messages, in order.
     pub messages: Vec<PeerMessage>,
     /// Why each of the others is unreadable. A daemon of another version may send such messages.
@@ -42,7 +44,8 @@
 /// Returns [`HoistError::InvalidName`] if the sender's name is malformed.
 pub fn decode_delivery(request: &DeliverRequest) -> Result<Delivery, HoistError> {
     let sender = PeerSender { incarnation: request.from.parse()?, address: request.address.clone() };
-    let mut delivery = Delivery { sender, messages: Vec::new(), unreadable: Vec::new() };
+    let mut delivery =
+        Delivery { sender, number: request.number, messages: Vec::new(), unreadable: Vec::new() };
     for bytes in &request.messages {
         match serde_json::from_slice(bytes) {
             Ok(message) => delivery.messages.push(message),
