Look only at steps that have become due

What callers would see: with a backlog of jobs of several steps the holder's ticks grow, and tasks start later.

Cause: each tick went over all blocked steps to find those with a due time, the later steps of every waiting job included. A step that was due and still waited for an earlier one made each tick go over all steps of its job. Found by reading for work that grows with the backlog; its cost was not measured.

Change: the tables keep the due times of steps that are not due yet, in order, and a tick looks at the first. A step that is due and still blocked is looked at when the earlier step ends; if the wall clock went back meanwhile, its due time is awaited again.

Why it works: the work of a tick follows the steps that become due and not those that wait.

--- a/crates/cassiahoist_jobs/src/job_rows.rs
+++ b/crates/cassiahoist_jobs/src/job_rows.rs
@@ -123,17 +123,12 @@
             }
         }
     }
-    set_initial_state(world, step_key);
-    step_key
-}
-
-fn set_initial_state(world: &mut World, step_key: StepKey) {
-    let Some(step) = world.jobs.steps.get_mut(step_key) else { return };
-    if step.done_count as usize == step.tasks.len() {
+    if let Some(step) = world.jobs.steps.get_mut(step_key)
+        && step.done_count as usize == step.tasks.len()
+    {
         step.state = StepState::Done;
-    } else {
-        world.jobs.blocked.insert(step_key);
     }
+    step_key
 }
 
 /// Builds the progress record of a job from its rows.
--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -7,7 +7,6 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_runs::{advance_job, stop_job_runs};
 use cassiahoist_world::inbox::RangeUpdate;
-use cassiahoist_world::jobs::JobKey;
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::{JobRecord, JobState};
@@ -144,7 +143,7 @@
     let steps = job.steps.clone();
     for step in steps {
         world.jobs.ready.remove(step);
-        world.jobs.blocked.remove(&step);
+        world.jobs.remove_due_time(step);
     }
     world.jobs.unrecorded_jobs.insert(key);
     world.counters.jobs_ended += 1;
@@ -175,27 +174,18 @@
 }
 
 /// Advances jobs with a blocked step whose due time has come.
+///
+/// It looks only at steps that have become due. One that still waits for earlier steps is looked at again when they end.
 pub fn advance_due_jobs(world: &mut World, now_ms: u64) {
     let unix_ms = world.local.unix_ms;
-    let mut due_jobs: Vec<JobKey> = Vec::new();
-    let mut next_due_unix_ms = u64::MAX;
-    for key in &world.jobs.blocked {
-        let Some(step) = world.jobs.steps.get(*key) else { continue };
-        if step.due_unix_ms == 0 {
-            continue;
+    while let Some((due_unix_ms, step)) = world.jobs.due_times.first().copied() {
+        if unix_ms < due_unix_ms {
+            return world.wake_by(now_ms + (due_unix_ms - unix_ms));
         }
-        if unix_ms >= step.due_unix_ms {
-            due_jobs.push(step.job);
-        } else {
-            next_due_unix_ms = next_due_unix_ms.min(step.due_unix_ms);
+        world.jobs.due_times.pop_first();
+        world.counters.steps_visited += 1;
+        if let Some(job) = world.jobs.steps.get(step).map(|step| step.job) {
+            advance_job(world, job, now_ms);
         }
     }
-    due_jobs.sort_unstable();
-    due_jobs.dedup();
-    for job in due_jobs {
-        advance_job(world, job, now_ms);
-    }
-    if next_due_unix_ms < u64::MAX {
-        world.wake_by(now_ms + (next_due_unix_ms - unix_ms));
-    }
 }
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -101,7 +101,6 @@
         step.advice = StepAdvice::default();
         let job = step.job;
         world.jobs.ready.remove(step_key);
-        world.jobs.blocked.remove(&step_key);
         advance_job(world, job, now_ms);
     }
 }
@@ -122,7 +121,11 @@
     for (position, step_key) in steps.iter().enumerate() {
         let Some(step) = world.jobs.steps.get(*step_key) else { continue };
         unfinished |= step.state != StepState::Done;
-        if step.state != StepState::Blocked || unix_ms < step.due_unix_ms {
+        if step.state != StepState::Blocked {
+            continue;
+        }
+        if unix_ms < step.due_unix_ms {
+            world.jobs.due_times.insert((step.due_unix_ms, *step_key));
             continue;
         }
         let occurrence_start = position - position % steps_per_occurrence;
@@ -138,7 +141,7 @@
             step.state = StepState::Ready;
             step.ready_since_ms = now_ms;
             let has_pending_tasks = !step.pending_tasks.is_empty();
-            world.jobs.blocked.remove(step_key);
+            world.jobs.remove_due_time(*step_key);
             if has_pending_tasks {
                 world.jobs.mark_ready(*step_key);
             }
@@ -164,7 +167,7 @@
     let (id, queue, steps) = (job.record.id, job.record.policy.queue.clone(), job.steps.clone());
     for step in steps {
         world.jobs.ready.remove(step);
-        world.jobs.blocked.remove(&step);
+        world.jobs.remove_due_time(step);
     }
     world.jobs.unrecorded_jobs.insert(job_key);
     world.counters.jobs_ended += 1;
--- a/crates/cassiahoist_standins/tests/systems/backlog.rs
+++ b/crates/cassiahoist_standins/tests/systems/backlog.rs
@@ -9,11 +9,14 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::jobs::StepKey;
 use cassiahoist_world::orders::{HostLists, Order, RunEnding};
+use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::record::MemberRecord;
-use cassiahoist_world::spec::StepSpec;
+use cassiahoist_world::spec::{Repeat, StepSpec};
 use cassiahoist_world::world::World;
 
-use crate::support::{TestDaemon, end, host_entry, job_record, running, running_lists, step, task_name};
+use crate::support::{
+    TestDaemon, end, ended_lists, host_entry, job_record, running, running_lists, step, task_name,
+};
 
 /// Number of jobs that wait, one step each.
 const BACKLOG: u64 = 600;
@@ -260,3 +263,76 @@
     assert_eq!(searches_in_a_round(&mut holder), 1);
     assert_eq!(holder.starts().len(), 3, "the step with a ticket for the host with room starts its tasks");
 }
+
+/// Jobs wait with later steps that depend on earlier ones. Each tick went over all of these steps to look for due times.
+#[test]
+fn blocked_steps_are_not_visited_while_nothing_changes() {
+    let mut holder = TestDaemon::with_hosts(0);
+    let later = StepSpec { depends_on: vec![0], ..step(1) };
+    for id in 1..=200 {
+        holder.add_job(id, vec![step(1), later.clone()]);
+    }
+    holder.tick(10);
+    let steps_visited = holder.app.world().counters.steps_visited;
+    for _ in 0..20 {
+        // No round of placement begins in this time.
+        holder.app.world_mut().advice.next_round_at_ms = holder.now_ms + 100;
+        holder.tick(10);
+    }
+    assert_eq!(holder.app.world().counters.steps_visited, steps_visited);
+}
+
+/// Creates a holder of a job that runs twice, 1 and 2 s from now, and whose second step depends on the first.
+fn holder_of_repeated_job() -> TestDaemon {
+    let mut holder = TestDaemon::with_hosts(4);
+    holder.tick(1);
+    let later = StepSpec { depends_on: vec![0], ..step(1) };
+    let mut job = job_record(1, vec![step(1), later]);
+    let first_run_unix_ms = 1_700_000_000_000 + holder.now_ms + 1_000;
+    let repeat = Repeat { count: 2, first_run_unix_ms, interval_ms: 1_000 };
+    Arc::make_mut(&mut job).spec.repeat = Some(repeat);
+    let now_ms = holder.now_ms;
+    insert_job(holder.app.world_mut(), &job, None, now_ms);
+    holder
+}
+
+#[test]
+fn steps_start_at_their_due_times() {
+    let mut holder = holder_of_repeated_job();
+    holder.tick(900);
+    assert!(holder.starts().is_empty(), "{:?}", holder.starts());
+    for _ in 0..2 {
+        let mut started = Vec::new();
+        for _ in 0..100 {
+            holder.tick(10);
+            started.extend(holder.starts());
+            holder.confirm_starts();
+        }
+        assert_eq!(started.len(), 1, "{started:?}");
+    }
+    assert!(holder.app.world().jobs.due_times.is_empty());
+}
+
+/// The wall clock jumps forward, so that a step becomes due that still waits for an earlier one, and then back.
+#[test]
+fn due_time_is_awaited_again_after_the_clock_went_back() {
+    let mut holder = holder_of_repeated_job();
+    holder.app.tick(holder.now_ms, 1_700_000_000_000 + holder.now_ms + 1_001);
+    holder.effects = holder.app.take_effects();
+    let (host, first_task, run_number) = holder.starts().remove(0);
+    holder.confirm_starts();
+    let host_number: u64 = host.trim_start_matches("i-").parse().unwrap();
+    holder.report_lists(host_number, ended_lists(vec![end(1, &first_task, run_number, RunEnding::Done)]));
+    assert!(holder.starts().is_empty(), "the second step is not due now");
+    holder.tick(1_000);
+    assert!(holder.starts().iter().any(|(_, task, _)| *task == task_name(1, 1, 0)), "{:?}", holder.starts());
+}
+
+#[test]
+fn cancelled_job_leaves_no_due_times() {
+    let mut holder = holder_of_repeated_job();
+    assert_eq!(holder.app.world().jobs.due_times.len(), 4);
+    let from = PeerSender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    holder.receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(1)) });
+    assert!(holder.app.world().jobs.due_times.is_empty());
+}
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -135,8 +135,8 @@
     pub advice_queue: AdviceQueue,
     /// Gangs of which some tasks were placed while others were pending, to be checked.
     pub partial_gangs: BTreeSet<StepKey>,
-    /// Steps that wait for earlier steps or their due time.
-    pub blocked: FxHashSet<StepKey>,
+    /// Blocked steps whose due time had not come when they were last looked at, ordered by that time in Unix milliseconds.
+    pub due_times: BTreeSet<(u64, StepKey)>,
     /// Jobs whose progress changed since it was last written to the store.
     pub unrecorded_jobs: FxHashSet<JobKey>,
     /// Jobs whose cancellation arrived before the job itself, with the time in monotonic milliseconds.
@@ -170,7 +170,7 @@
         let Some(job) = self.rows.get_mut(key) else { return };
         for step_key in std::mem::take(&mut job.steps) {
             self.ready.remove(step_key);
-            self.blocked.remove(&step_key);
+            self.remove_due_time(step_key);
             if let Some(step) = self.steps.remove(step_key) {
                 for task_key in step.tasks {
                     self.tasks.remove(task_key);
@@ -196,6 +196,13 @@
         self.advice_queue.put_off(next_call_at_ms, position);
     }
 
+    /// Removes the due time of a step that no longer waits for it.
+    pub fn remove_due_time(&mut self, key: StepKey) {
+        if let Some(step) = self.steps.get(key) {
+            self.due_times.remove(&(step.due_unix_ms, key));
+        }
+    }
+
     /// Returns whether the queue of a step's job needs advice.
     fn needs_advice(&self, key: StepKey) -> bool {
         let job = self.steps.get(key).and_then(|step| self.rows.get(step.job));
