Give calls for callers connections to the store of their own

What callers would see: while the store is slow and callers submit many jobs at the daemon that holds the slice, jobs of all callers wait: completions are not recorded, and a claim or its release comes too late.

Cause: 32 connections to the store served callers' submissions, queries and cancellations and the daemon's own calls, in the order of their issue; only calls that keep the lease had connections of their own.

Change: calls for callers have 32 connections of their own.

Evidence: `writes_of_the_holder_do_not_wait_for_callers` fails on the former code: the release of the claim waits behind 100 submissions.

Why it works: callers can use up only their own connections.

--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's store.
 
 use cassiahoist_world::event::Event;
-use cassiahoist_world::store::{StoreCall, StoreCompletion, StoreFailure, StoreOp, StoreReply};
+use cassiahoist_world::store::{StoreCall, StoreCompletion, StoreFailure, StoreOp, StorePurpose, StoreReply};
 use cassiahoist_world::unsent::UnsentCause;
 
 use crate::clock::MonotonicClock;
@@ -20,6 +20,8 @@
     http: HttpClient,
     /// Connections of the calls that keep the lease, which other calls can't use up.
     lease_http: HttpClient,
+    /// Connections of the calls for callers, however many of these there are.
+    caller_http: HttpClient,
     clock: MonotonicClock,
     control: ControlLink,
 }
@@ -33,16 +35,29 @@
             address,
             http: HttpClient::new(),
             lease_http: HttpClient::new().with_max_connections(LEASE_CONNECTIONS),
+            caller_http: HttpClient::new(),
             clock,
             control,
         }
     }
 
-    /// Returns the client whose connections are for an operation.
-    fn http_for(&self, op: &StoreOp) -> &HttpClient {
-        match op {
-            StoreOp::GrantLease(_) | StoreOp::RenewLease(_) | StoreOp::EndLease(_) => &self.lease_http,
-            StoreOp::Get(_) | StoreOp::List(_) | StoreOp::Watch { .. } | StoreOp::Commit(_) => &self.http,
+    /// Returns the client whose connections are for calls of a purpose.
+    fn http_for(&self, purpose: &StorePurpose) -> &HttpClient {
+        match purpose {
+            StorePurpose::GrantLease | StorePurpose::RenewLease | StorePurpose::EndLease => &self.lease_http,
+            StorePurpose::StoreJob(_) | StorePurpose::ReadJob(_) | StorePurpose::CancelJob(_) => {
+                &self.caller_http
+            }
+            StorePurpose::RegisterMember
+            | StorePurpose::ClaimSlice
+            | StorePurpose::ReleaseClaim
+            | StorePurpose::FollowRange(_)
+            | StorePurpose::LoadProgress
+            | StorePurpose::LoadRoster
+            | StorePurpose::WriteRoster
+            | StorePurpose::RecordProgress(_)
+            | StorePurpose::StoreDeclarations(_)
+            | StorePurpose::RemoveJobs => &self.http,
         }
     }
 
@@ -52,20 +67,26 @@
     pub fn execute(&self, call: StoreCall, issued_at_ms: u64) {
         let client = self.clone();
         drop(tokio::spawn(async move {
-            let outcome = client.exchange(&call.op, call.deadline_ms).await;
+            let http = client.http_for(&call.purpose);
+            let outcome = client.exchange(http, &call.op, call.deadline_ms).await;
             let completion = StoreCompletion { purpose: call.purpose, issued_at_ms, outcome };
             client.control.send(Event::StoreCompleted(Box::new(completion)));
         }));
     }
 
     /// Executes an operation; reads all pages of a listing.
-    async fn exchange(&self, op: &StoreOp, deadline_ms: u64) -> Result<StoreReply, StoreFailure> {
+    async fn exchange(
+        &self,
+        http: &HttpClient,
+        op: &StoreOp,
+        deadline_ms: u64,
+    ) -> Result<StoreReply, StoreFailure> {
         // A long listing takes many pages, so each page gets the full timeout.
         let timeout_ms = deadline_ms.saturating_sub(self.clock.now_ms());
-        let first = self.fetch_page(op, None, deadline_ms).await?;
+        let first = self.fetch_page(http, op, None, deadline_ms).await?;
         let (mut reply, mut next_after) = (first.reply, first.next_after);
         while let Some(after) = next_after {
-            let page = self.fetch_page(op, Some(&after), self.clock.now_ms() + timeout_ms).await?;
+            let page = self.fetch_page(http, op, Some(&after), self.clock.now_ms() + timeout_ms).await?;
             next_after = page.next_after;
             // Keeps the revision of the first page, so that a watch from there misses no change made between pages.
             if let (StoreReply::Items { items, .. }, StoreReply::Items { items: more, .. }) =
@@ -79,6 +100,7 @@
 
     async fn fetch_page(
         &self,
+        http: &HttpClient,
         op: &StoreOp,
         after: Option<&str>,
         deadline_ms: u64,
@@ -88,7 +110,7 @@
             .encode_op(op, after)
             .map_err(|_unencodable| StoreFailure::NotSent(UnsentCause::Unencodable))?;
         let timeout = self.clock.duration_until(deadline_ms);
-        match self.http_for(op).exchange(&self.address, request, timeout).await {
+        match http.exchange(&self.address, request, timeout).await {
             Exchange::Response(response) => {
                 self.protocol.decode_reply(op, response.status().as_u16(), response.body())
             }
--- a/crates/cassiahoist_traffic/tests/store_client.rs
+++ b/crates/cassiahoist_traffic/tests/store_client.rs
@@ -12,7 +12,8 @@
 use cassiahoist_traffic::store_client::StoreClient;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::store::{
-    KeySpace, StoreCall, StoreFailure, StoreOp, StorePurpose, StoreReply, Transaction,
+    KeySpace, StoreCall, StoreCompletion, StoreFailure, StoreKey, StoreOp, StorePurpose, StoreReply,
+    Transaction,
 };
 use hyper::Request;
 use hyper::service::service_fn;
@@ -80,13 +81,18 @@
     assert_eq!(completion.outcome, Ok(StoreReply::Items { items: Vec::new(), revision: 1 }));
 }
 
-/// A store protocol that names the operation in the path.
+/// A store protocol whose path says whether the operation is a renewal or a removal, which the store answers.
 #[derive(Clone, Copy, Debug)]
 struct NamedOperations;
 
 impl StoreProtocol for NamedOperations {
     fn encode_op(&self, op: &StoreOp, _page: Option<&str>) -> Result<FullRequest, HoistError> {
-        let path = if matches!(op, StoreOp::RenewLease(_)) { "/renew" } else { "/other" };
+        let is_answered = match op {
+            StoreOp::RenewLease(_) => true,
+            StoreOp::Commit(transaction) => !transaction.deletes.is_empty(),
+            _ => false,
+        };
+        let path = if is_answered { "/answered" } else { "/other" };
         let request = Request::builder().uri(path).header("host", "store");
         request
             .body(http_body_util::Full::default())
@@ -98,11 +104,11 @@
     }
 }
 
-/// Answers renewals at once, and nothing else.
-async fn serve_renewals(listener: TcpListener) {
+/// Answers renewals and removals at once, and nothing else.
+async fn serve_some_operations(listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
-            if request.uri().path() != "/renew" {
+            if request.uri().path() != "/answered" {
                 std::future::pending::<()>().await;
             }
             Ok::<_, Infallible>(text_response(200, "text/plain", String::new()))
@@ -113,14 +119,11 @@
     }
 }
 
-/// Callers submit more jobs than the store writes at the moment.
-///
-/// Their calls took all connections to the store, so that the lease was not renewed and the daemon lost its claim.
-#[tokio::test]
-async fn renewal_of_the_lease_does_not_wait_for_other_calls() {
+/// Lets callers submit more jobs than there are connections, then makes another call. Returns the first outcome.
+async fn first_outcome_beside_submissions(purpose: StorePurpose, op: StoreOp) -> StoreCompletion {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    drop(tokio::spawn(serve_renewals(listener)));
+    drop(tokio::spawn(serve_some_operations(listener)));
     let clock = MonotonicClock::new();
     let (sender, inputs) = sync_channel(128);
     let client = StoreClient::new(NamedOperations, address, clock, ControlLink::new(sender));
@@ -131,11 +134,32 @@
     for number in 1..=100 {
         execute(StorePurpose::StoreJob(number), StoreOp::Commit(Transaction::default()));
     }
-    execute(StorePurpose::RenewLease, StoreOp::RenewLease(7));
+    execute(purpose, op);
     let input = tokio::task::spawn_blocking(move || inputs.recv_timeout(Duration::from_secs(10)));
     let Ok(ControlInput::Event(Event::StoreCompleted(first))) = input.await.unwrap() else {
         panic!("the store client reported no completion")
     };
-    assert_eq!(first.purpose, StorePurpose::RenewLease);
+    *first
+}
+
+/// Callers submit more jobs than the store writes at the moment.
+///
+/// Their calls took all connections to the store, so that the lease was not renewed and the daemon lost its claim.
+#[tokio::test]
+async fn renewal_of_the_lease_does_not_wait_for_other_calls() {
+    let (purpose, op) = (StorePurpose::RenewLease, StoreOp::RenewLease(7));
+    let first = first_outcome_beside_submissions(purpose.clone(), op).await;
+    assert_eq!(first.purpose, purpose);
     assert_eq!(first.outcome, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 }));
 }
+
+/// Callers submit more jobs at the holder than the store writes at the moment.
+///
+/// Its own writes waited behind them: progress was not recorded, and a claim or its release came too late.
+#[tokio::test]
+async fn writes_of_the_holder_do_not_wait_for_callers() {
+    let removal = Transaction::default().with_delete(StoreKey::Claim(SliceId(0)));
+    let first = first_outcome_beside_submissions(StorePurpose::ReleaseClaim, StoreOp::Commit(removal)).await;
+    assert_eq!(first.purpose, StorePurpose::ReleaseClaim);
+    assert!(first.outcome.is_ok(), "{:?}", first.outcome);
+}
