Start nothing after a pause until the store has confirmed the lease

What callers would see: a task that runs twice, on a host that restarted during the pause and so has seen no token of the new holder.

Cause: the check of the claim ended 1.5 s after a pause, whether the store had answered or not. And a pause of up to 1.25 s passed for none, although the lease of 1.5 s may be 400 ms old when it begins.

Change: the check ends with the renewal alone. It begins at a gap of 1.1 s between ticks: the life of the lease less the interval of its renewals.

Evidence: no_start_after_a_pause_while_the_store_is_silent and no_start_after_a_pause_in_which_the_lease_may_have_ended fail before.

The price: a holder that was paused while the store is down starts nothing until the store is back. What runs goes on.

--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -9,10 +9,10 @@
 /// Time to live of the lease without renewal, in milliseconds.
 ///
 /// It bounds the time to detect a dead holder. A greater `min_lease_ms` of the bounds takes its place.
-const LEASE_TTL_MS: u64 = 1_500;
+pub(crate) const LEASE_TTL_MS: u64 = 1_500;
 
 /// Interval between renewals at the holder, in milliseconds. Two may fail before the lease ends.
-const HOLDER_RENEWAL_INTERVAL_MS: u64 = 400;
+pub(crate) const HOLDER_RENEWAL_INTERVAL_MS: u64 = 400;
 
 /// Interval between renewals at other daemons, in milliseconds.
 ///
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -5,7 +5,7 @@
 use cassiahoist_world::orders::{Order, OrderOutcome, RefusalReason, RunEnding, RunReport};
 use cassiahoist_world::record::JobState;
 use cassiahoist_world::spec::StepSpec;
-use cassiahoist_world::store::{StorePurpose, StoreReply};
+use cassiahoist_world::store::{StoreCall, StoreFailure, StorePurpose, StoreReply};
 
 use crate::support::{TestDaemon, end, ended_lists, host_entry, running, running_lists, step, task_name};
 
@@ -76,6 +76,55 @@
     assert_eq!(holder.app.world().counters.starts, 1);
 }
 
+/// After a pause the store stays silent, so another daemon may hold the slice.
+///
+/// Starts went on 1.5 s after the pause without a confirmed lease. A host that had restarted, and so knew no token, ran them
+/// beside those of a new holder.
+#[test]
+fn no_start_after_a_pause_while_the_store_is_silent() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.tick(100);
+    let renewal =
+        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap();
+    holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 2_000 }));
+    holder.add_job(1, vec![step(1)]);
+    holder.tick(3_000);
+    for _ in 0..100 {
+        let calls: Vec<StoreCall> =
+            holder.store_calls().filter(|call| call.purpose == StorePurpose::RenewLease).cloned().collect();
+        for call in calls {
+            holder.answer_store(call, Err(StoreFailure::Unknown));
+        }
+        holder.tick(100);
+        assert!(holder.starts().is_empty(), "at {} ms", holder.now_ms);
+    }
+    let renewal = loop {
+        if let Some(call) = holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease) {
+            break call.clone();
+        }
+        holder.tick(10);
+    };
+    holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 2_000 }));
+    holder.tick(10);
+    assert_eq!(holder.app.world().counters.starts, 1);
+}
+
+/// The lease ends 1.5 s after its last renewal, which may be 400 ms old when a pause begins.
+///
+/// A pause of 1.2 s passed for none, although the claim could be another daemon's by its end.
+#[test]
+fn no_start_after_a_pause_in_which_the_lease_may_have_ended() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.tick(100);
+    let renewal =
+        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap();
+    holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 }));
+    holder.tick(390);
+    holder.add_job(1, vec![step(1)]);
+    holder.tick(1_150);
+    assert!(holder.starts().is_empty());
+}
+
 #[test]
 fn failed_tasks_that_run_until_cancelled_always_restart() {
     let mut holder = TestDaemon::with_hosts(2);
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -131,7 +131,7 @@
     pub last_tick_at_ms: u64,
     /// When a suspension of the process left the claim unconfirmed, in monotonic milliseconds.
     ///
-    /// Cleared once the store renews the lease or a timeout passes.
+    /// Cleared once the store has renewed the lease.
     pub unconfirmed_since_ms: Option<u64>,
     /// Progress of loading the records of earlier holders.
     pub loading: RecordLoading,
