Show that silent hosts and changes of the holder give up no run

What could go wrong: running work is started elsewhere or given up since its host was silent for a while, or since the holder changed.

--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -1,8 +1,11 @@
 //! Simulated days with scripted and with seeded faults, checked against the invariants.
 
+use std::collections::HashSet;
+
 use cassiahoist_core::prelude::*;
 use cassiahoist_standins::host::HostHealth;
 use cassiahoist_standins::sim::{Fault, Machine, Scenario, Simulation, StoreHealth};
+use cassiahoist_standins::trace::Observation;
 use cassiahoist_standins::workload::Workload;
 
 /// Simulates a day of the plain workload with faults at times in milliseconds.
@@ -182,6 +185,54 @@
     }
 }
 
+/// Lists the runs of a day that were given up: they lapsed, or were stopped before the cancellation of their job.
+fn given_up_runs(sim: &Simulation) -> Vec<String> {
+    let mut cancelled = HashSet::new();
+    let mut given_up = Vec::new();
+    for (at_ms, observation) in &sim.platform.trace.observations {
+        match observation {
+            Observation::CancelRequested { job } => {
+                cancelled.insert(*job);
+            }
+            Observation::RunEnded { task, run, host, ending: ending @ ("lapsed" | "stopped") } => {
+                let name: TaskName = task.parse().unwrap();
+                // A job that fails gives up its other runs.
+                let can_complete = sim.platform.ground_truth.jobs[&name.step.job].can_complete();
+                if can_complete && !cancelled.contains(&name.step.job) {
+                    given_up.push(format!("{task} run {run} on {host} {ending} at {at_ms} ms"));
+                }
+            }
+            _ => {}
+        }
+    }
+    given_up
+}
+
+/// Hosts are silent for a while, one at a time or all together, and go on working.
+///
+/// Their runs must neither be given up nor started again elsewhere.
+#[test]
+fn hosts_that_are_silent_for_a_while_keep_their_runs() {
+    for (seed, silent_hosts, silent_ms) in [(61, 1, 900), (62, 8, 900), (63, 1, 2_400), (64, 3, 2_400)] {
+        let silence = |host| (7_000 + host as u64 * 7, Fault::MakeHostUnreachable(host, silent_ms));
+        let sim = run_scenario(seed, (0..silent_hosts).map(silence).collect());
+        assert_eq!(given_up_runs(&sim), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// The holder stops, dies or is paused, and each of its hosts goes on working.
+///
+/// Its successor must adopt what runs, and give nothing up or start it again.
+#[test]
+fn change_of_the_holder_gives_up_no_run() {
+    let changes =
+        [Fault::StopHolder, Fault::KillHolder(4_000), Fault::PauseHolder(4_000), Fault::KillAllDaemons(600)];
+    for (seed, change) in (71..).zip(changes) {
+        let sim = run_scenario(seed, vec![(7_000, change)]);
+        assert_eq!(given_up_runs(&sim), Vec::<String>::new(), "seed {seed}: {change:?}");
+    }
+}
+
 /// An unreachable host may still run tasks that the killed holder started there.
 #[test]
 fn new_holder_waits_for_unreachable_hosts() {
