Take no host for unresponsive whose order timed out during a pause

What callers would see: after a pause of the holder, copies of work that goes on start on other hosts.

Cause: the timeouts of all open polls pass while the process is suspended, and fail at once when it resumes. Their hosts counted as unresponsive, and tasks that allow copies were requeued at once.

Change: an order without an answer that was issued before the process resumed says nothing about its host. The host is polled again after 30 ms.

--- a/crates/cassiahoist_membership/src/suspension.rs
+++ b/crates/cassiahoist_membership/src/suspension.rs
@@ -21,6 +21,7 @@
     let tick_gap_ms = now_ms.saturating_sub(world.holding.last_tick_at_ms);
     if world.holding.last_tick_at_ms > 0 && tick_gap_ms > MAX_TICK_GAP_MS {
         world.holding.unconfirmed_since_ms = Some(now_ms);
+        world.holding.resumed_at_ms = now_ms;
         world.store_connection.next_lease_call_at_ms = now_ms;
         for (_, host) in world.hosts.iter_mut() {
             host.poll.next_ms = now_ms;
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -162,6 +162,11 @@
 }
 
 fn update_reachability(world: &mut World, completion: &OrderCompletion, now_ms: u64) {
+    let is_unanswered = matches!(completion.outcome, OrderOutcome::NotSent(_) | OrderOutcome::Unknown);
+    if is_unanswered && completion.issued_at_ms < world.holding.resumed_at_ms {
+        // Its time passed while this process was suspended.
+        return;
+    }
     if completion.outcome == OrderOutcome::Unknown {
         world.runs.last_unanswered_at_ms = Some(now_ms);
     }
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -342,10 +342,11 @@
 
 /// Starts that were not answered were forgotten when their tasks ran elsewhere.
 ///
-/// The orders reached their hosts later, beside tasks that had been placed there since.
+/// The orders reached their hosts later, beside tasks that had been placed there since. At the last seed a holder was
+/// paused for 11 s, and took the hosts for unresponsive whose orders had timed out meanwhile.
 #[test]
 fn formerly_failing_seeds_with_copies_pass() {
-    for seed in [102, 121] {
+    for seed in [102, 121, 932_223] {
         let violations = Simulation::new(seed, Scenario::from_seed(seed, Workload::Copies)).run();
         assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
     }
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -109,6 +109,36 @@
     assert_eq!(holder.app.world().counters.starts, 1);
 }
 
+/// The polls that were open during a pause of the holder all time out at its end.
+///
+/// Their hosts counted as unresponsive, and copies of their runs started elsewhere.
+#[test]
+fn polls_that_a_pause_left_unanswered_start_no_copies() {
+    let mut holder = TestDaemon::with_hosts(2);
+    holder.add_job(1, vec![StepSpec { allows_copies: true, ..step(1) }]);
+    holder.tick(10);
+    let is_poll = |order: &Order| matches!(order, Order::Poll { .. });
+    let poll = holder.orders().find(|order| is_poll(&order.order)).cloned().unwrap();
+    let find_renewal = |holder: &TestDaemon| {
+        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap()
+    };
+    let renewal = find_renewal(&holder);
+    holder.confirm_starts();
+    let renewed = || Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 });
+    holder.answer_store(renewal, renewed());
+    holder.tick(20);
+    let (host, issued_at_ms) = (poll.host, holder.now_ms);
+    holder.now_ms += 3_000;
+    holder.answer_issued_at(poll, OrderOutcome::Unknown, None, issued_at_ms);
+    assert_eq!(holder.app.world().hosts.get(host).unwrap().unresponsive_since_ms, None);
+    let renewal = find_renewal(&holder);
+    holder.tick(30);
+    assert!(holder.orders().any(|order| is_poll(&order.order)), "the host is polled again soon");
+    holder.answer_store(renewal, renewed());
+    holder.tick(20);
+    assert_eq!(holder.app.world().counters.starts, 1);
+}
+
 /// The lease ends 1.5 s after its last renewal, which may be 400 ms old when a pause begins.
 ///
 /// A pause of 1.2 s passed for none, although the claim could be another daemon's by its end.
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -133,6 +133,8 @@
     ///
     /// Cleared once the store has renewed the lease.
     pub unconfirmed_since_ms: Option<u64>,
+    /// When the process last resumed after a suspension, in monotonic milliseconds; 0 if never.
+    pub resumed_at_ms: u64,
     /// Progress of loading the records of earlier holders.
     pub loading: RecordLoading,
     /// Daemon that made the latest claim seen.
@@ -184,6 +186,7 @@
             tables_fence: Fence(0),
             last_tick_at_ms: 0,
             unconfirmed_since_ms: None,
+            resumed_at_ms: 0,
             loading: RecordLoading::default(),
             last_holder: None,
             claim_sent_at_ms: 0,
