Simulate a holder whose link is full of start orders

Machines can have a narrow link now, on which orders and calls to the store take time by their bytes.

--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod link;
 pub mod machine;
+mod narrow;
 pub mod processor;
 
 use std::collections::BTreeMap;
@@ -73,6 +74,8 @@
     pub start_spread_ms: u64,
     /// Times at which callers submit many jobs.
     pub bursts: Vec<Burst>,
+    /// Greatest length that the arguments of jobs have beside their names, in bytes.
+    pub max_argument_bytes: usize,
 }
 
 impl Default for Scenario {
@@ -88,6 +91,7 @@
             machines: Vec::new(),
             start_spread_ms: 0,
             bursts: Vec::new(),
+            max_argument_bytes: 0,
         }
     }
 }
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -107,7 +107,14 @@
         let late = health.max_effect_delay_ms > 0 && open_call.drop_reply;
         let delay_ms = health.added_latency_ms
             + if late { self.rng.random_range(0..health.max_effect_delay_ms) } else { 0 };
-        self.open_call(open_call, delay_ms);
+        let body_bytes = open_call.request.2.len();
+        if let Some(queued_ms) = self.daemons[open_call.daemon].link.queue_store_call(body_bytes, self.now_ms)
+        {
+            self.open_call(open_call, delay_ms + queued_ms);
+        } else {
+            let deadline_ms = open_call.deadline_ms;
+            self.send_store_outcome(open_call, Err(StoreFailure::Unknown), deadline_ms);
+        }
     }
 
     pub(super) fn send_store_outcome(
@@ -186,7 +193,8 @@
             None if open_call.drop_reply => self.rng.random_range(2_000..8_000),
             None => 0,
         };
-        if let Some(queued_ms) = self.daemons[open_call.daemon].link.queue_order(self.now_ms) {
+        let body_bytes = open_call.request.2.len();
+        if let Some(queued_ms) = self.daemons[open_call.daemon].link.queue_order(body_bytes, self.now_ms) {
             self.open_call(open_call, late_ms + queued_ms);
         } else {
             let deadline_ms = open_call.deadline_ms;
--- a/crates/cassiahoist_standins/src/sim/daemon.rs
+++ b/crates/cassiahoist_standins/src/sim/daemon.rs
@@ -73,7 +73,7 @@
             paused_until_ms: 0,
             restart_at_ms: None,
             store_unreachable_until_ms: 0,
-            link: Link::default(),
+            link: Link::new(&machine),
             connections: None,
             tick_count: 0,
             tick_time: Duration::ZERO,
--- a/crates/cassiahoist_standins/src/sim/machine.rs
+++ b/crates/cassiahoist_standins/src/sim/machine.rs
@@ -12,13 +12,15 @@
     pub limits: Option<MachineLimits>,
     /// Descriptors that the daemon's process may have open; `None` for any number.
     pub max_descriptors: Option<usize>,
+    /// Whether its link takes time for bytes, by its limits.
+    pub has_narrow_link: bool,
 }
 
 impl Machine {
     /// Creates a machine whose ticks take time.
     #[must_use]
     pub fn new(limits: MachineLimits) -> Self {
-        Self { limits: Some(limits), max_descriptors: None }
+        Self { limits: Some(limits), ..Self::default() }
     }
 
     /// Limits the descriptors of the daemon's process.
@@ -26,6 +28,12 @@
     pub fn with_max_descriptors(self, max_descriptors: usize) -> Self {
         Self { max_descriptors: Some(max_descriptors), ..self }
     }
+
+    /// Lets the link take time for the bytes of orders and calls to the store.
+    #[must_use]
+    pub fn with_narrow_link(self) -> Self {
+        Self { has_narrow_link: true, ..self }
+    }
 }
 
 /// Draws unlike machines, of which one in five is strong, but at least one.
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -1,8 +1,8 @@
 //! Runs seeded simulations with faults and checks them against the scheduler's invariants.
 //!
 //! `cargo run --release --example prove -- --seeds 500`; `--seed N` repeats one seed and prints its log. Each seed is
-//! played with all workloads, and one in twenty with the crowded scenario, which takes longer; `--crowded-seeds N` sets
-//! their number.
+//! played with all workloads, and one in twenty with the crowded and the narrow scenario, which take longer;
+//! `--crowded-seeds N` sets their number.
 
 use std::process::ExitCode;
 
@@ -12,7 +12,7 @@
 use cassiahoist_standins::workload::Workload;
 use cassiahoist_world::app::App;
 
-/// Number of seeds for each seed of the crowded scenario.
+/// Number of seeds for each seed of the crowded and the narrow scenario.
 const SEEDS_PER_CROWDED: u64 = 20;
 
 /// Kind of simulated day.
@@ -22,6 +22,8 @@
     Seeded(Workload),
     /// Many hosts, daemons on unlike machines and a backlog after a loss of power.
     Crowded,
+    /// A link of the holder that start orders fill.
+    Narrow,
 }
 
 impl Day {
@@ -29,6 +31,7 @@
         match self {
             Self::Seeded(workload) => Scenario::from_seed(seed, workload),
             Self::Crowded => Scenario::crowded(seed),
+            Self::Narrow => Scenario::narrow(seed),
         }
     }
 }
@@ -42,16 +45,18 @@
     varied: bool,
     copies: bool,
     crowded: bool,
+    narrow: bool,
 }
 
 impl Args {
     /// Returns the kind of day that `--seed` plays.
     fn day(&self) -> Day {
-        match (self.crowded, self.varied, self.copies) {
+        match (self.crowded, self.narrow, self.varied, self.copies) {
             (true, ..) => Day::Crowded,
-            (false, true, _) => Day::Seeded(Workload::Varied),
-            (false, false, true) => Day::Seeded(Workload::Copies),
-            (false, false, false) => Day::Seeded(Workload::Plain),
+            (_, true, ..) => Day::Narrow,
+            (_, _, true, _) => Day::Seeded(Workload::Varied),
+            (_, _, _, true) => Day::Seeded(Workload::Copies),
+            (false, false, false, false) => Day::Seeded(Workload::Plain),
         }
     }
 
@@ -60,15 +65,16 @@
         let seeds = self.from..self.from + self.seeds;
         let crowded_seeds = self.crowded_seeds.unwrap_or(self.seeds / SEEDS_PER_CROWDED);
         let seeded = seeds.flat_map(|seed| Workload::ALL.map(|workload| (seed, Day::Seeded(workload))));
-        let crowded = (self.from..self.from + crowded_seeds).map(|seed| (seed, Day::Crowded));
-        seeded.chain(crowded).collect()
+        let large_days = [Day::Crowded, Day::Narrow];
+        let large = (self.from..self.from + crowded_seeds).flat_map(|seed| large_days.map(|day| (seed, day)));
+        seeded.chain(large).collect()
     }
 }
 
 fn args() -> OptionParser<Args> {
     let seeds = long("seeds").help("Number of seeds").argument("N").fallback(200);
     let crowded_seeds = long("crowded-seeds")
-        .help("Number of seeds with the crowded scenario; one in twenty seeds by default")
+        .help("Number of seeds with the crowded and the narrow scenario; one in twenty seeds by default")
         .argument("N")
         .optional();
     let from = long("from").help("First seed").argument("N").fallback(1);
@@ -82,7 +88,9 @@
     let crowded = long("crowded")
         .help("With --seed: plays many hosts, daemons on unlike machines and a backlog after a loss of power")
         .switch();
-    construct!(Args { seeds, crowded_seeds, from, seed, varied, copies, crowded })
+    let narrow =
+        long("narrow").help("With --seed: plays a link of the holder that start orders fill").switch();
+    construct!(Args { seeds, crowded_seeds, from, seed, varied, copies, crowded, narrow })
         .to_options()
         .descr("Runs seeded simulations with faults")
 }
