Wait for run leases if the host roster can't be read

What callers would see: a task that runs twice after a change of the holder. The roster is written by daemons alone, so this takes a daemon of another version or a damaged value.

Cause: a roster that can't be decoded passed for an empty one. The new holder then waited for no host, and started tasks that still ran on hosts which it could not reach.

Change: with an unreadable roster inherited tasks wait until the run leases of an earlier holder have expired. The item is logged as skipped (302), and the next roster write expects its revision.

--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -94,7 +94,16 @@
         };
         let (roster, revision) = match item {
             Some(StoreItem { value: StoreValue::HostRoster(roster), revision, .. }) => (roster, revision),
-            _ => (HostRoster::default(), 0),
+            Some(StoreItem { key, value, revision }) => {
+                world.holding.loading.is_roster_unreadable = true;
+                let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{key:?}"));
+                world.log(match value {
+                    StoreValue::Unreadable { reason } => log_record.with("reason", reason),
+                    _ => log_record.with("reason", "it is no roster"),
+                });
+                (HostRoster::default(), revision)
+            }
+            None => (HostRoster::default(), 0),
         };
         world.store_writes.roster_revision = revision;
         world.holding.loading.roster = Some(roster);
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -154,6 +154,10 @@
     if !world.holding.is_holding() {
         return false;
     }
+    let roster_adopted = || {
+        let mut hosts = world.hosts.iter_engaged();
+        hosts.all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
+    };
     now_ms >= world.holding.polling_since_ms + world.local.bounds.max_run_lease_ms()
-        || world.hosts.iter_engaged().all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
+        || (!world.holding.loading.is_roster_unreadable && roster_adopted())
 }
--- a/crates/cassiahoist_standins/src/platform.rs
+++ b/crates/cassiahoist_standins/src/platform.rs
@@ -133,6 +133,15 @@
         }
     }
 
+    /// Removes a host's entry from the store; its process goes on.
+    pub fn deregister_host(&mut self, number: usize, now_ms: u64) {
+        let registered = &mut self.registered_hosts[number];
+        registered.draining = true;
+        let key = format!("servers/{}", registered.host.name);
+        self.store.remove(&key);
+        self.record_host_state(number, now_ms);
+    }
+
     /// Changes how a host misbehaves.
     pub fn set_host_health(&mut self, number: usize, health: HostHealth, now_ms: u64) {
         self.registered_hosts[number].host.health = health;
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -76,6 +76,10 @@
     DrainHost(usize),
     /// Writes an unreadable host entry, as a foreign writer might.
     UnreadableHostEntry,
+    /// Replaces the host roster by a value that no daemon can read.
+    UnreadableRoster,
+    /// Removes a host's entry, as when it leaves; its process goes on and answers.
+    DeregisterHost(usize),
     /// Writes a configuration with the version given.
     WriteConfig(u64),
 }
@@ -120,7 +124,7 @@
                 self.store_faulty_since_ms.get_or_insert(now_ms);
                 return;
             }
-            Fault::DrainHost(_) => return,
+            Fault::DrainHost(_) | Fault::DeregisterHost(_) => return,
             _ => 0,
         };
         self.active_spans.push((now_ms, now_ms + for_ms));
@@ -207,6 +211,8 @@
             Fault::CompactHistory => self.platform.store.compact(),
             Fault::WriteConfig(version) => self.platform.write_config(version, now_ms),
             Fault::UnreadableHostEntry => self.platform.store.put("servers/orphan", "bm8ganNvbg==".into()),
+            Fault::UnreadableRoster => self.platform.store.put("hoist/hosts/0", "bm8ganNvbg==".into()),
+            Fault::DeregisterHost(host) => self.platform.deregister_host(host % hosts, now_ms),
             Fault::RestartHost(host) => self.restart_host(host % hosts, 0),
             Fault::RestartHostUnannounced(host, entry_delay_ms) => {
                 self.restart_host(host % hosts, entry_delay_ms);
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -284,6 +284,36 @@
     }
 }
 
+/// A roster that can't be read passed for an empty one.
+///
+/// The new holder then started tasks that still ran on hosts which it could not reach.
+#[test]
+fn unreadable_host_roster_starts_no_task_twice() {
+    for seed in 81..85 {
+        let mut faults = vec![(7_000, Fault::UnreadableRoster), (7_010, Fault::KillHolder(3_000))];
+        faults.extend((0..3).map(|host| (6_990, Fault::MakeHostUnreachable(host, 4_500))));
+        run_scenario(seed, faults);
+    }
+}
+
+/// Hosts leave while tasks run there, and their processes still answer. Then all daemons restart.
+///
+/// The roster in the store lists the hosts that have left, but none of them may get work again.
+#[test]
+fn hosts_that_have_left_get_no_task_after_a_restart() {
+    for (seed, down_ms) in [(85, 400), (86, 1_200), (87, 2_500)] {
+        let mut faults = vec![(8_000, Fault::KillAllDaemons(down_ms))];
+        faults.extend((0..3).map(|host| (7_900, Fault::DeregisterHost(host))));
+        let sim = run_scenario(seed, faults);
+        let left = ["i-0000", "i-0001", "i-0002"];
+        let started = sim.platform.trace.observations.iter().filter(|(at_ms, observation)| {
+            let Observation::RunStarted { host, .. } = observation else { return false };
+            *at_ms > 8_000 + down_ms && left.contains(&host.as_str())
+        });
+        assert_eq!(started.count(), 0, "seed {seed}");
+    }
+}
+
 /// No submission has an uncertain outcome (status 504).
 ///
 /// This holds although the first daemon is cut off from the store.
