--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -25,6 +25,8 @@
     pub progress_in_flight: bool,
     /// Roster as read; `None` before that and once its hosts are in the tables.
     pub roster: Option<HostRoster>,
+    /// Whether the roster can't be decoded. Then any host may still run tasks of an earlier holder.
+    pub is_roster_unreadable: bool,
     /// Whether the hosts of the roster are in the tables.
     pub roster_loaded: bool,
     /// Whether the call for the roster is in flight.
@@ -136,8 +138,10 @@
     pub last_tick_at_ms: u64,
     /// When a suspension of the process left the claim unconfirmed, in monotonic milliseconds.
     ///
-    /// Cleared once the store renews the lease or a timeout passes.
+    /// Cleared once the store has renewed the lease.
     pub unconfirmed_since_ms: Option<u64>,
+    /// When the process last resumed after a suspension, in monotonic milliseconds; 0 if never.
+    pub resumed_at_ms: u64,
     /// Progress of loading the records of earlier holders.
     pub loading: RecordLoading,
     /// Daemon that made the latest claim seen.
@@ -191,6 +195,7 @@
             tables_fence: Fence(0),
             last_tick_at_ms: 0,
             unconfirmed_since_ms: None,
+            resumed_at_ms: 0,
             loading: RecordLoading::default(),
             last_holder: None,
             deferral_logged_for_ms: None,
