--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -68,7 +68,7 @@
     204 ClaimReleased Info "This daemon released its claim on the slice.";
     205 MemberJoined Info "A daemon registered in the store.";
     206 MemberLeft Info "A daemon's entry was removed from the store.";
-    207 HolderSlow Warning "This daemon is too slow to hold the slice and releases its claim.";
+    207 HolderSlow Warning "This daemon is too slow to hold the slice, or no host answers it, and it releases its claim.";
     208 PeerMessageSkipped Warning "A message of another daemon is unreadable and is skipped.";
     209 HolderLoad Info "Load of the daemon that holds or adopts the slice, once a second.";
     210 HolderWeak Info "A much stronger daemon is registered, and this one releases its claim.";
