Keep a daemon busy while its long advice call is open

Cause: a daemon has up to two calls in flight, and the answer to the first marked it as free although the service had just begun the second, which takes up to 1.4 s. The next urgent call was sent to that daemon and waited behind it. Ruled out: late daemons (their calls took 11 ms), calls of the processes before the loss (the first calls were in time). Change: after an answer a daemon is busy until its remaining calls are expected to end. Evidence: `daemon_with_a_long_call_gets_no_further_one` fails on the earlier code.

--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -85,9 +85,7 @@
 }
 
 fn apply_answer(world: &mut World, open: OpenAdviceCall, answer: AdviceAnswer, now_ms: u64) {
-    if let Some(busy_until_ms) = world.advice.busy_until_ms.get_mut(&open.member) {
-        *busy_until_ms = (*busy_until_ms).min(now_ms);
-    }
+    shorten_busy_time(world, &open.member, now_ms);
     world.advice.next_round_at_ms = now_ms;
     let Some(step) = world.jobs.steps.get_mut(open.step) else { return };
     let (job, ready_since_ms) = (step.job, step.ready_since_ms);
@@ -131,6 +129,17 @@
     *share += APPROVED_SHARE_WEIGHT * (approved_count as f64 / queried_count.max(1) as f64 - *share);
 }
 
+/// Corrects until when a daemon is busy after an answer that came earlier than expected.
+///
+/// The service begins the daemon's next call then.
+fn shorten_busy_time(world: &mut World, member: &MemberName, now_ms: u64) {
+    let remaining_calls = world.advice.open_calls.values().filter(|open| open.member == *member);
+    let remaining_end_ms = remaining_calls.map(|open| open.expected_at_ms).max().unwrap_or_default();
+    if let Some(busy_until_ms) = world.advice.busy_until_ms.get_mut(member) {
+        *busy_until_ms = (*busy_until_ms).min(remaining_end_ms.max(now_ms));
+    }
+}
+
 fn abandon_late_calls(world: &mut World, now_ms: u64) {
     world.advice.open_calls.retain(|_, open| now_ms < open.abandon_at_ms + ABANDONED_CALL_MS);
     let late_calls: Vec<u64> = world
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -292,3 +292,47 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].0, "i-2");
 }
+
+/// Adds a job of one task whose call for advice takes `call_ms`.
+fn add_advised_job(holder: &mut TestDaemon, id: u64, call_ms: f64) {
+    let mut job = job_record(id, vec![step(1)]);
+    let policy = Arc::make_mut(&mut Arc::make_mut(&mut job).policy);
+    policy.advice =
+        Some(cassiahoist_world::config::AdviceCost { call_ms, per_host_ms: 0.0, ticket_ms: 2_500 });
+    let now_ms = holder.now_ms;
+    cassiahoist_jobs::insert_job(holder.app.world_mut(), &job, None, now_ms);
+}
+
+/// A daemon's second call takes a second, and its first one was answered.
+///
+/// The answer marked the daemon as free, so that short calls of urgent steps waited behind the long one at the service
+/// until they were abandoned.
+#[test]
+fn daemon_with_a_long_call_gets_no_further_one() {
+    let mut holder = TestDaemon::with_hosts(4);
+    let record = MemberRecord {
+        incarnation: "edge-0#1".parse().unwrap(),
+        peer_address: "10.1.0.0:7720".into(),
+        domain: FailureDomain::new("obihiro").unwrap(),
+        limits: MachineLimits::default(),
+    };
+    holder.app.world_mut().members.insert(record, 0);
+    add_advised_job(&mut holder, 1, 20.0);
+    holder.tick(10);
+    assert_eq!(advice_calls(&holder), 1);
+    add_advised_job(&mut holder, 2, 1_000.0);
+    holder.tick(15);
+    assert_eq!(advice_calls(&holder), 1, "the next call is sent shortly before the first is answered");
+    let call = *holder.app.world().advice.open_calls.keys().min().unwrap();
+    let answer =
+        cassiahoist_world::advice::AdviceAnswer { call, approved: Some(Vec::new()), ticket_ms: 2_500 };
+    holder.receive_event(Event::AdviceReceived(answer));
+    add_advised_job(&mut holder, 3, 20.0);
+    let mut waited_ms = 0;
+    while advice_calls(&holder) == 0 {
+        holder.tick(10);
+        waited_ms += 10;
+        assert!(waited_ms < 2_000, "the daemon gets a call once the long one ends");
+    }
+    assert!(waited_ms >= 900, "a call after {waited_ms} ms");
+}
