--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -22,7 +22,7 @@
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 39] = [
+const COUNTERS: [(&str, &str, ReadValue); 42] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
@@ -72,6 +72,15 @@
     ("cassiahoist_sent_bytes_callers", "Bytes sent for answers to callers", |w| {
         sent_bytes(w, TrafficKind::Callers)
     }),
+    ("cassiahoist_accepts_failed", "Connections that could not be accepted", |w| {
+        w.load.traffic.accepts_failed
+    }),
+    ("cassiahoist_calls_unqueued", "Calls refused since the control thread's queue was full", |w| {
+        w.load.traffic.calls_unqueued
+    }),
+    ("cassiahoist_peer_messages_lost", "Messages to peers that were dropped or not delivered", |w| {
+        w.load.traffic.peer_messages_lost
+    }),
     ("cassiahoist_received_bytes", "Bytes of answers to requests", |w| w.load.traffic.received_bytes),
     ("cassiahoist_unsent_no_free_connection", "Requests not sent: no connection became free", |w| {
         unsent(w, UnsentCause::NoFreeConnection)
@@ -98,7 +107,7 @@
     }),
 ];
 
-const GAUGES: [(&str, &str, ReadValue); 32] = [
+const GAUGES: [(&str, &str, ReadValue); 33] = [
     ("cassiahoist_calls_open", "Calls in progress", |w| w.calls.open.len() as u64),
     ("cassiahoist_jobs_open", "Jobs in this daemon's tables", |w| w.jobs.len() as u64),
     ("cassiahoist_runs_open", "Runs that occupy resources", |w| w.runs.rows.len() as u64),
@@ -130,13 +139,18 @@
     ("cassiahoist_caller_connections_open", "Open connections of callers", |w| {
         w.load.traffic.connections.callers
     }),
-    ("cassiahoist_peer_connections_open", "Open connections to peers", |w| w.load.traffic.connections.peers),
+    ("cassiahoist_peer_connections_open", "Open connections to and from peers", |w| {
+        w.load.traffic.connections.peers
+    }),
     ("cassiahoist_store_connections_open", "Open connections to the store", |w| {
         w.load.traffic.connections.store
     }),
     ("cassiahoist_advice_connections_open", "Open connections to the advice service", |w| {
         w.load.traffic.connections.advice
     }),
+    ("cassiahoist_descriptors_limit", "Descriptors that the process may open", |w| {
+        w.load.traffic.connections.descriptors_limit
+    }),
     ("cassiahoist_open_bytes", "Bytes of requests without an answer so far", |w| w.load.traffic.open_bytes),
     ("cassiahoist_longest_gap_ms", "Longest time between ticks in the last second", |w| {
         w.load.daemon.longest_gap_ms
--- a/crates/cassiahoist_daemon/tests/metrics.rs
+++ b/crates/cassiahoist_daemon/tests/metrics.rs
@@ -44,8 +44,12 @@
     traffic.connections.peers = 146;
     traffic.connections.store = 3;
     traffic.connections.advice = 2;
+    traffic.connections.descriptors_limit = 4_100;
     traffic.open_bytes = 900_000;
     traffic.received_bytes = 5_000;
+    traffic.accepts_failed = 7;
+    traffic.calls_unqueued = 8;
+    traffic.peer_messages_lost = 9;
     for kind in TrafficKind::ALL {
         traffic.sent_bytes[kind as usize] = 100 + kind as u64;
     }
@@ -60,8 +64,12 @@
         ("peer_connections_open", 146),
         ("store_connections_open", 3),
         ("advice_connections_open", 2),
+        ("descriptors_limit", 4_100),
         ("open_bytes", 900_000),
         ("received_bytes", 5_000),
+        ("accepts_failed", 7),
+        ("calls_unqueued", 8),
+        ("peer_messages_lost", 9),
         ("sent_bytes_starts", 100),
         ("sent_bytes_polls", 101),
         ("sent_bytes_other_orders", 102),
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -79,6 +79,7 @@
                 _ = stop.wait_for(|&stop| stop) => break,
             };
             let Ok((stream, permit)) = accepted else {
+                self.meter.count_failed_accept();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
@@ -192,6 +193,7 @@
         let pending = self.control.register_call();
         call.number = pending.number;
         if !self.control.try_send(Event::CallReceived(call)) {
+            self.meter.count_unqueued_call();
             return CallAnswer::Error { kind: ErrorKind::Overloaded, retry_after_ms: Some(RETRY_AFTER_MS) };
         }
         // Without an answer, a job or a cancellation may have been stored.
--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -79,7 +79,9 @@
     pub fn send(&self, address: &str, message: PeerMessage) {
         if let Some(queue) = self.get_or_open_queue(address) {
             // If the queue is full, the message is dropped; the peer reads the same from the store later.
-            let _dropped = queue.try_send(message);
+            if queue.try_send(message).is_err() {
+                self.meter.count_lost_messages(1);
+            }
         }
     }
 
@@ -127,7 +129,10 @@
                 // The connection may be dead, so retry once on a new one. The peer recognizes the number if it has
                 // received the delivery, so that no message takes effect twice.
                 client = connect_client(&endpoint);
-                let _outcome = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
+                let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
+                if !matches!(delivered, Ok(Ok(_))) {
+                    self.meter.count_lost_messages(batch.len() as u64);
+                }
             }
             batch.clear();
         }
--- a/crates/cassiahoist_world/src/traffic.rs
+++ b/crates/cassiahoist_world/src/traffic.rs
@@ -29,7 +29,7 @@
 
 /// Open connections by what they are for.
 ///
-/// Those that are being opened or closed count too. Connections that peers opened are not counted.
+/// Those that are being opened or closed count too.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OpenConnections {
     /// Connections to hosts.
@@ -38,12 +38,14 @@
     pub hosts_limit: u64,
     /// Connections of callers.
     pub callers: u64,
-    /// Connections to peers.
+    /// Connections to and from peers.
     pub peers: u64,
     /// Connections to the store.
     pub store: u64,
     /// Connections to the advice service.
     pub advice: u64,
+    /// Descriptors that the process may open, for connections and all else.
+    pub descriptors_limit: u64,
 }
 
 /// Totals since the start of the daemon, and what is open now.
@@ -57,6 +59,12 @@
     pub open_bytes: u64,
     /// Requests that were certainly not sent, by cause.
     pub unsent: [u64; UnsentCause::ALL.len()],
+    /// Connections that could not be accepted, for lack of descriptors or memory.
+    pub accepts_failed: u64,
+    /// Calls that were refused at once, since the control thread's queue was full.
+    pub calls_unqueued: u64,
+    /// Messages to peers that were dropped or not delivered.
+    pub peer_messages_lost: u64,
     /// Open connections.
     pub connections: OpenConnections,
 }
