Record ends of hosts by the jobs that they belong to

What callers would see: a task that was done ran again after a change of the holder, if its host had restarted while earlier ends were being recorded. And while one of many transactions fails, hosts list all their ends in each answer, on a link that tasks wait for.

Cause: a flush took down the greatest end number of each host as it began, and all numbers counted as recorded when it ended. A restarted host counts from 1 again; its new ends up to that number, in no record yet, counted as recorded, and the host dropped them. If one transaction of the flush failed, no number counted, whichever jobs it held.

Change: each host keeps its ends that are not recorded, with their jobs. A finished flush records those that were there when it began, in order, up to the first of a job whose transaction failed. A restart empties the list.

Why it works: an end counts as recorded only by the record that holds it, and only in the incarnation that reported it.

--- a/crates/cassiahoist_jobs/src/progress.rs
+++ b/crates/cassiahoist_jobs/src/progress.rs
@@ -1,10 +1,11 @@
 //! Writes the progress of jobs to the store in batches, called flushes.
 //!
-//! The end of a run counts as recorded once every job that changed up to it is written. Only then may the host drop
-//! the end from its list.
+//! The end of a run counts as recorded once its job is written, and the jobs of all earlier ends of its host. Only then may
+//! the host drop the end from its list.
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::{SLICE, StepDownCause, step_down};
+use cassiahoist_world::hosts::HostKey;
 use cassiahoist_world::jobs::JobKey;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::store::{
@@ -51,13 +52,14 @@
     }
     world.store_writes.next_flush_at_ms = now_ms + FLUSH_INTERVAL_MS;
     world.store_writes.ends_unrecorded = false;
-    let end_numbers = world
-        .hosts
-        .iter_engaged()
-        .filter(|(_, host)| host.last_end_applied > host.last_end_recorded)
-        .map(|(key, host)| (key, host.last_end_applied))
-        .collect();
-    let mut flush = Flush { end_numbers, ..Flush::default() };
+    let unrecorded = world.hosts.iter_engaged().filter(|(_, host)| !host.unrecorded_ends.is_empty());
+    let hosts: Vec<HostKey> = unrecorded.map(|(key, _)| key).collect();
+    for key in &hosts {
+        if let Some(host) = world.hosts.get_mut(*key) {
+            host.unrecorded_ends.begin_flush();
+        }
+    }
+    let mut flush = Flush { hosts, ..Flush::default() };
     let mut unrecorded_jobs: Vec<JobKey> = world.jobs.unrecorded_jobs.drain().collect();
     unrecorded_jobs.retain(|key| world.jobs.get(*key).is_some());
     for group in unrecorded_jobs.chunks(JOBS_PER_COMMIT) {
@@ -132,12 +134,13 @@
             }
         }
         Ok(StoreReply::Conflict { items }) => {
-            flush.failed = true;
+            flush.failed_jobs.extend(commit.jobs.iter().map(|(key, _)| *key));
             resolve_conflict(world, &commit, &items, now_ms);
         }
         Ok(_) | Err(_) => {
-            flush.failed = true;
-            world.jobs.unrecorded_jobs.extend(commit.jobs.into_iter().map(|(key, _)| key));
+            let jobs = commit.jobs.iter().map(|(key, _)| *key);
+            flush.failed_jobs.extend(jobs.clone());
+            world.jobs.unrecorded_jobs.extend(jobs);
         }
     }
     if flush.open_commits.is_empty() {
@@ -177,17 +180,15 @@
 }
 
 fn finish_flush(world: &mut World, flush: Flush, now_ms: u64) {
-    if flush.failed {
+    if !flush.failed_jobs.is_empty() {
         world.store_writes.ends_unrecorded = true;
         world.store_writes.next_flush_at_ms = now_ms + FLUSH_RETRY_MS;
-        return;
     }
-    for (key, number) in flush.end_numbers {
-        if let Some(host) = world.hosts.get_mut(key) {
-            // A restarted host numbers its ends from the start again.
-            if number <= host.last_end_applied {
-                host.last_end_recorded = host.last_end_recorded.max(number);
-            }
+    for key in flush.hosts {
+        if let Some(host) = world.hosts.get_mut(key)
+            && let Some(number) = host.unrecorded_ends.finish_flush(&flush.failed_jobs)
+        {
+            host.last_end_recorded = number;
             host.poll.next_ms = now_ms;
         }
     }
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -89,11 +89,13 @@
 }
 
 fn apply_end_report(world: &mut World, key: HostKey, report: &EndReport, now_ms: u64) {
+    let job = world.jobs.find(&report.task.step.job);
     let Some(host) = world.hosts.get_mut(key) else { return };
     if report.end_number <= host.last_end_applied {
         return;
     }
     host.last_end_applied = report.end_number;
+    host.unrecorded_ends.push(report.end_number, job);
     world.store_writes.ends_unrecorded = true;
     let known_run = find_run(world, key, &report.task, report.run_number);
     if let Some(run) = known_run {
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -9,6 +9,7 @@
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
+use cassiahoist_world::unrecorded_ends::UnrecordedEnds;
 
 use crate::lifecycle::detach_run;
 use crate::outcome::end_run;
@@ -100,6 +101,7 @@
     host.adoption = Adoption::Unknown;
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
+    host.unrecorded_ends = UnrecordedEnds::default();
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
--- a/crates/cassiahoist_standins/tests/systems/recording.rs
+++ b/crates/cassiahoist_standins/tests/systems/recording.rs
@@ -6,14 +6,17 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_jobs::insert_job;
 use cassiahoist_world::event::Event;
-use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome, RunEnding};
+use cassiahoist_world::orders::{HostLists, HostOrder, Order, OrderCompletion, OrderOutcome, RunEnding};
 use cassiahoist_world::record::JobState;
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::store::{
-    StoreCompletion, StoreFailure, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
+    KeySpace, StoreCall, StoreCompletion, StoreFailure, StoreItem, StoreKey, StoreOp, StorePurpose,
+    StoreReply, StoreValue,
 };
 
-use crate::support::{FENCE, TestDaemon, end, ended_lists, job_record, step, task_name};
+use crate::support::{
+    FENCE, TestDaemon, end, ended_lists, entry_change, host_entry, job_record, step, task_name,
+};
 
 #[test]
 fn host_may_drop_an_end_only_after_it_is_recorded() {
@@ -171,3 +174,80 @@
     assert!(on_fast_link >= 10, "{on_fast_link} flushes without need");
     assert!(on_full_link * 3 <= on_fast_link * 2, "{on_full_link} flushes against {on_fast_link}");
 }
+
+/// Returns the jobs whose progress a commit writes.
+fn jobs_in(commit: &StoreCall) -> Vec<JobId> {
+    let StoreOp::Commit(transaction) = &commit.op else { unreachable!() };
+    let keys = transaction.puts.iter().map(|put| &put.key);
+    keys.filter_map(|key| if let StoreKey::Progress(job) = key { Some(*job) } else { None }).collect()
+}
+
+/// One of the transactions of a flush fails. No end of any host was recorded then, so that hosts listed all of them again
+/// and again.
+#[test]
+fn failed_commit_leaves_only_ends_of_its_jobs_unrecorded() {
+    let mut holder = TestDaemon::with_hosts(4);
+    for id in 1..=20 {
+        holder.add_job(id, vec![StepSpec { max_per_host: Some(5), ..step(1) }]);
+    }
+    holder.tick(10);
+    let starts = holder.starts();
+    assert_eq!(starts.len(), 20);
+    holder.confirm_starts();
+    holder.tick(300);
+    holder.app.world_mut().store_writes.flush = None;
+    holder.app.world_mut().store_writes.next_flush_at_ms = holder.now_ms + 100;
+    let mut ended_jobs: [Vec<JobId>; 4] = Default::default();
+    for (number, jobs) in (0..).zip(&mut ended_jobs) {
+        let on_host = starts.iter().filter(|(host, ..)| *host == format!("i-{number}"));
+        let ends = (1..).zip(on_host).map(|(end_number, (_, task, run_number))| {
+            jobs.push(task.parse::<TaskName>().unwrap().step.job);
+            end(end_number, task, *run_number, RunEnding::Done)
+        });
+        let ends: Vec<_> = ends.collect();
+        holder.report_lists(number, ended_lists(ends));
+    }
+    holder.tick(100);
+    let commits = holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_)));
+    assert_eq!(commits.len(), 2);
+    let failed_jobs = jobs_in(&commits[1]);
+    holder.answer_store(commits[0].clone(), Ok(StoreReply::Committed { revision: 60 }));
+    holder.answer_store(commits[1].clone(), Err(StoreFailure::NotApplied));
+    let mut recorded_count = 0;
+    for (number, jobs) in (0..).zip(&ended_jobs) {
+        let expected = jobs.iter().take_while(|job| !failed_jobs.contains(job)).count() as u64;
+        let host = holder.app.world().hosts.get(holder.host(number)).unwrap();
+        assert_eq!(host.last_end_recorded, expected, "host {number}");
+        recorded_count += expected;
+    }
+    assert!(recorded_count > 0, "every host lists an end of a failed job first");
+    holder.tick(300);
+    for commit in holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_))) {
+        holder.answer_store(commit, Ok(StoreReply::Committed { revision: 61 }));
+    }
+    for (number, jobs) in (0..).zip(&ended_jobs) {
+        let host = holder.app.world().hosts.get(holder.host(number)).unwrap();
+        assert_eq!(host.last_end_recorded, jobs.len() as u64, "host {number}");
+    }
+}
+
+/// A host restarts while its ends are being recorded, and numbers its ends from 1 again.
+///
+/// Its new end 1 counted as recorded, so that it could be dropped, and a later holder would have run the task again.
+#[test]
+fn flush_from_before_a_restart_records_no_end_of_the_new_incarnation() {
+    let mut holder = TestDaemon::with_running_tasks(1, 2);
+    holder.tick(50);
+    holder.report_lists(0, ended_lists(vec![end(1, &task_name(1, 0, 0), 1, RunEnding::Done)]));
+    let commits = holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_)));
+    let mut entry = host_entry(0);
+    entry.started_unix_ms += 60_000;
+    let started_unix_ms = Some(entry.started_unix_ms);
+    holder.receive_changes(KeySpace::Hosts, vec![entry_change(entry)], 70);
+    let ended = vec![end(1, &task_name(1, 0, 1), 2, RunEnding::Done)];
+    holder.report_lists(0, HostLists { started_unix_ms, running: Vec::new(), ended });
+    let host = holder.host(0);
+    assert_eq!(holder.app.world().hosts.get(host).unwrap().last_end_applied, 1);
+    holder.answer_store(commits[0].clone(), Ok(StoreReply::Committed { revision: 60 }));
+    assert_eq!(holder.app.world().hosts.get(host).unwrap().last_end_recorded, 0);
+}
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -14,6 +14,7 @@
 use crate::rows::{IndexedRows, Row};
 use crate::runs::RunTable;
 use crate::spec::StepSpec;
+use crate::unrecorded_ends::UnrecordedEnds;
 
 /// Store entry in which a host describes itself.
 ///
@@ -125,6 +126,8 @@
     pub last_end_applied: u64,
     /// Greatest end number that is durable in the store. The host may drop ends up to it.
     pub last_end_recorded: u64,
+    /// Ends between these two.
+    pub unrecorded_ends: UnrecordedEnds,
     /// The host's own clock at the latest lists that were applied, in milliseconds; 0 before the first.
     pub lists_clock_ms: u64,
     /// When these lists arrived, in monotonic milliseconds; 0 before the first.
@@ -165,6 +168,7 @@
             in_roster: false,
             last_end_applied: 0,
             last_end_recorded: 0,
+            unrecorded_ends: UnrecordedEnds::default(),
             lists_clock_ms: 0,
             lists_received_at_ms: 0,
             reserved: Resources::default(),
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod store;
 pub mod store_connection;
 pub mod store_writes;
+pub mod unrecorded_ends;
 pub mod unsent;
 pub mod world;
 
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -1,5 +1,7 @@
 //! Writes of the holder to the store: progress in groups, removals and the roster.
 
+use rustc_hash::FxHashSet;
+
 use crate::keys::{HostKey, JobKey};
 use crate::record::JobState;
 
@@ -17,12 +19,10 @@
 pub struct Flush {
     /// Transactions whose results are open.
     pub open_commits: Vec<OpenCommit>,
-    /// Greatest end number that this flush makes durable, by host.
-    ///
-    /// A host may drop ends up to its number once every transaction is committed.
-    pub end_numbers: Vec<(HostKey, u64)>,
-    /// Whether a transaction failed, so that [`Flush::end_numbers`] must not apply.
-    pub failed: bool,
+    /// Hosts with ends that this flush covers.
+    pub hosts: Vec<HostKey>,
+    /// Jobs of the transactions that failed. Their ends are not durable.
+    pub failed_jobs: FxHashSet<JobKey>,
 }
 
 /// State of the holder's writes to the store.
