Count a ticket's lifetime from the answer of the service

What callers would see: tasks of queues with advice start later at a slow holder, whose starts are refused for outdated tickets; each refusal also costs a price.

Cause: the holder counted a ticket's lifetime from the tick that read the answer. Before that the answer had waited on the link of the daemon that made the call, on the holder's link and for the tick.

Change: the answer states how long the call took at the daemon that made it. The holder counts from the sending of the call plus that time, the earliest time at which the service can have answered. A daemon of an earlier version states nothing, and the lifetime counts from the sending.

Why it works: waits on the way back no longer extend the ticket.

--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -102,7 +102,9 @@
         world.log(log_record.with("member", open.member).with("took_ms", now_ms - open.sent_at_ms));
         return;
     };
-    let expires_at_ms = now_ms + answer.ticket_ms;
+    // The answer may have waited on the way and for this tick, so its earliest possible time counts.
+    let answered_at_ms = (open.sent_at_ms + answer.took_ms).min(now_ms);
+    let expires_at_ms = answered_at_ms + answer.ticket_ms;
     let queried_count = open.hosts.len();
     let mut approved_count = 0_usize;
     for key in open.hosts {
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -241,7 +241,8 @@
         let reply = crate::advice::answer_call(&body).to_string();
         let reply = advice::AdviceCodec.decode_reply(200, reply.as_bytes());
         let ticket_ms = reply.as_ref().map_or(0, |reply| reply.ticket_ms);
-        let answer = AdviceAnswer { call: call.call, approved: reply.map(|reply| reply.approved), ticket_ms };
+        let approved = reply.map(|reply| reply.approved);
+        let answer = AdviceAnswer { call: call.call, approved, ticket_ms, took_ms: 0 };
         match reply_to {
             Some(address) => {
                 let from = self.sender(daemon, daemon_started_unix_ms);
--- a/crates/cassiahoist_standins/tests/systems/backlog.rs
+++ b/crates/cassiahoist_standins/tests/systems/backlog.rs
@@ -112,7 +112,12 @@
     };
     for _ in 0..3 {
         let call = open_call(&holder).expect("a call for the step");
-        holder.receive_event(Event::AdviceReceived(AdviceAnswer { call, approved: None, ticket_ms: 0 }));
+        holder.receive_event(Event::AdviceReceived(AdviceAnswer {
+            call,
+            approved: None,
+            ticket_ms: 0,
+            took_ms: 0,
+        }));
         assert_eq!(open_call(&holder), None);
         holder.tick(100);
     }
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -246,11 +246,50 @@
             ticket: Arc::from("t"),
         }]),
         ticket_ms: 2_500,
+        took_ms: 2_000,
     };
     holder.receive_event(Event::AdviceReceived(answer));
     assert_eq!(holder.starts().len(), 1);
 }
 
+/// A holder reads an answer with advice long after the service gave it, as over a full link or between long ticks.
+///
+/// It took the tickets for valid from then on, and hosts refused the starts.
+#[test]
+fn lifetime_of_a_ticket_counts_from_the_answer_of_the_service() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let own_incarnation = holder.app.world().local.incarnation.clone();
+    holder.app.world_mut().members.insert(
+        MemberRecord {
+            incarnation: own_incarnation,
+            peer_address: "10.1.0.0:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
+    let mut advised_job = job_record(1, vec![step(1)]);
+    let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
+    policy.advice =
+        Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 600 });
+    let now_ms = holder.now_ms;
+    cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+    holder.tick(10);
+    let (call, sent_at_ms) = (*holder.app.world().advice.open_calls.keys().min().unwrap(), holder.now_ms);
+    holder.now_ms += 400;
+    // An answer on the wire, as daemons of any version send it.
+    let answer = serde_json::json!({
+        "call": call,
+        "good": [{"host": host_entry(0).name, "ticket": "t"}],
+        "ticket_ms": 600,
+        "took_ms": 30,
+    });
+    holder.receive_event(Event::AdviceReceived(serde_json::from_value(answer).unwrap()));
+    let step = holder.app.world().jobs.steps.values().next().unwrap();
+    let tickets = step.advice.approved_hosts.values();
+    assert_eq!(tickets.map(|ticket| ticket.expires_at_ms).collect::<Vec<_>>(), [sent_at_ms + 30 + 600]);
+}
+
 #[test]
 fn tasks_respect_pool_label_and_limit_per_host() {
     let mut holder = TestDaemon::with_hosts(3);
--- a/crates/cassiahoist_traffic/src/advice_client.rs
+++ b/crates/cassiahoist_traffic/src/advice_client.rs
@@ -1,6 +1,6 @@
 //! Client of the advice service.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cassiahoist_world::advice::{AdviceAnswer, AdviceCall};
 use cassiahoist_world::event::Event;
@@ -35,11 +35,15 @@
     /// The answer is sent to the peer at `reply_to`, or to this daemon's control thread if that is `None`.
     pub fn request(&self, call: AdviceCall, reply_to: Option<String>) {
         let client = self.clone();
+        let received_at = Instant::now();
         drop(tokio::spawn(async move {
             let reply = client.exchange(&call).await;
-            let ticket_ms = reply.as_ref().map_or(0, |reply| reply.ticket_ms);
-            let answer =
-                AdviceAnswer { call: call.call, approved: reply.map(|reply| reply.approved), ticket_ms };
+            let answer = AdviceAnswer {
+                call: call.call,
+                ticket_ms: reply.as_ref().map_or(0, |reply| reply.ticket_ms),
+                approved: reply.map(|reply| reply.approved),
+                took_ms: received_at.elapsed().as_millis() as u64,
+            };
             match reply_to {
                 Some(address) => client.peers.send(&address, PeerMessage::AdviceReply(answer)),
                 None => client.control.send(Event::AdviceReceived(answer)),
--- a/crates/cassiahoist_world/src/advice.rs
+++ b/crates/cassiahoist_world/src/advice.rs
@@ -69,8 +69,11 @@
     /// Hosts that the service approved; `None` if the call failed.
     #[serde(rename = "good")]
     pub approved: Option<Vec<ApprovedHost>>,
-    /// Lifetime of the tickets from the answer on, in milliseconds.
+    /// Lifetime of the tickets from the service's answer on, in milliseconds.
     pub ticket_ms: u64,
+    /// Time from the receipt of the call by the daemon that made it to the service's answer, in milliseconds.
+    #[serde(default)]
+    pub took_ms: u64,
 }
 
 /// A call for advice whose result is open.
