Issue an unsent start of a gang again

What callers would see: a gang starts late. While connections to hosts are scarce, one start that finds none stops all members that have begun, and the whole gang waits for their ends and is placed anew.

Cause: any start of a gang without a confirmation broke the gang, also one that was certainly not sent.

Change: such a start is issued again after 100 ms, to the same host under the same run number, for one second from the gang's placement; hosts let members wait for each other longer than that. After that, after a pause of the process, and if the host refuses connections, the gang is broken as before.

Why it works: a start that was not sent can't have taken effect, so that the same run number is safe, and the others of the gang only wait a little longer.

--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -15,6 +15,7 @@
 mod poll;
 mod stalls;
 mod stop_orders;
+mod unsent_starts;
 
 pub use lease_expiry::{may_start_inherited_jobs, reset_restarted_host};
 pub use lifecycle::{reserve_run, stop_job_runs, stop_run};
@@ -34,6 +35,7 @@
             .add_system(TickSet::HostAnswers, adopt::stop_partial_gangs)
             .add_system(TickSet::Runs, stalls::stop_stalled_runs)
             .add_system(TickSet::Runs, stop_orders::send_stop_orders)
+            .add_system(TickSet::Runs, unsent_starts::issue_unsent_starts)
             .add_system(TickSet::Runs, pace::send_filler_pace)
             .add_system(TickSet::Runs, poll::poll_hosts)
             .add_system(TickSet::Outgoing, load::log_holder_load);
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -15,6 +15,7 @@
 use crate::outcome::break_gang;
 use crate::pace::apply_pace_answer;
 use crate::poll::schedule_poll;
+use crate::unsent_starts::{UnsentStartDecision, decide_unsent_start, keep_unsent_start};
 
 /// Timeout of a poll outside the regular schedule, in milliseconds.
 const IMMEDIATE_POLL_TIMEOUT_MS: u64 = 350;
@@ -183,7 +184,14 @@
             run.progress_clock_ms = run.progress_clock_ms.max(host_clock_ms.unwrap_or_default());
         }
         OrderOutcome::Unknown => stop_run(world, key, StopReason::Unanswered, now_ms),
-        OrderOutcome::NotSent(cause) => undo_start(world, key, UnstartedCause::NotSent(*cause), now_ms),
+        OrderOutcome::NotSent(cause) => {
+            let decision =
+                world.runs.rows.get(key).map(|run| decide_unsent_start(world, run, *cause, now_ms));
+            if let Some(UnsentStartDecision::IssueAt(issue_at_ms)) = decision {
+                return keep_unsent_start(world, &completion.order, *cause, issue_at_ms, now_ms);
+            }
+            undo_start(world, key, UnstartedCause::NotSent(*cause), now_ms);
+        }
         OrderOutcome::Refused(reason) => {
             match reason {
                 RefusalReason::Late => {
--- a/crates/cassiahoist_standins/tests/systems/unsent_orders.rs
+++ b/crates/cassiahoist_standins/tests/systems/unsent_orders.rs
@@ -2,7 +2,10 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::effect::Effect;
+use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome};
+use cassiahoist_world::peer::{PeerMessage, PeerSender};
+use cassiahoist_world::runs::RunState;
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::store::{StoreCall, StoreFailure, StorePurpose};
 use cassiahoist_world::unsent::UnsentCause;
@@ -116,3 +119,105 @@
     assert_eq!(logged_fields(&holder, EventId::StoreUnreachable).len(), 1);
     assert!(holder.app.world().store_connection.is_failing());
 }
+
+/// Creates a holder of a gang of three, one member on each host, of which the first start could not be sent.
+///
+/// Returns that start. The other members confirmed theirs.
+fn holder_with_unsent_member(cause: UnsentCause) -> (TestDaemon, HostOrder) {
+    let mut holder = TestDaemon::with_hosts(3);
+    holder.add_job(1, vec![StepSpec { gang: true, max_per_host: Some(1), ..step(3) }]);
+    holder.tick(10);
+    let starts: Vec<HostOrder> =
+        holder.orders().filter(|order| matches!(order.order, Order::Start { .. })).cloned().collect();
+    assert_eq!(starts.len(), 3);
+    for start in &starts[1..] {
+        holder.answer(start.clone(), OrderOutcome::Done { lists: None }, Some(2_000));
+    }
+    let unsent = starts[0].clone();
+    holder.answer(unsent.clone(), OrderOutcome::NotSent(cause), None);
+    (holder, unsent)
+}
+
+fn count_gang_runs(holder: &TestDaemon, wanted: RunState) -> usize {
+    holder.app.world().runs.rows.values().filter(|run| run.state == wanted).count()
+}
+
+/// One start of a gang found no free connection. All members were stopped, and the whole gang was placed anew.
+#[test]
+fn unsent_start_of_a_gang_member_is_issued_again() {
+    for cause in [
+        UnsentCause::NoFreeConnection,
+        UnsentCause::LocalResources,
+        UnsentCause::ConnectTimeout,
+        UnsentCause::ConnectionClosed,
+    ] {
+        let (mut holder, unsent) = holder_with_unsent_member(cause);
+        assert_eq!(count_gang_runs(&holder, RunState::Running), 2, "{cause:?}");
+        assert_eq!(holder.orders().filter(|order| matches!(order.order, Order::Start { .. })).count(), 0);
+        holder.tick(100);
+        let again = find_order(&holder, |order| matches!(order, Order::Start { .. }));
+        let (Order::Start { run, run_number, .. }, Order::Start { run: first, run_number: number, .. }) =
+            (&again.order, &unsent.order)
+        else {
+            unreachable!()
+        };
+        assert_eq!((run, run_number, again.host), (first, number, unsent.host), "{cause:?}");
+        holder.answer(again, OrderOutcome::Done { lists: None }, Some(2_000));
+        assert_eq!(count_gang_runs(&holder, RunState::Running), 3, "{cause:?}");
+        assert_eq!(holder.app.world().runs.start_window.open(), 0);
+    }
+}
+
+/// Members wait for the others on their hosts, which end them after a time, so the start is not issued for ever.
+#[test]
+fn gang_is_broken_if_a_start_stays_unsent() {
+    let (mut holder, _) = holder_with_unsent_member(UnsentCause::NoFreeConnection);
+    for _ in 0..20 {
+        holder.tick(100);
+        if holder.starts().is_empty() {
+            break;
+        }
+        let unsent = find_order(&holder, |order| matches!(order, Order::Start { .. }));
+        holder.answer(unsent, OrderOutcome::NotSent(UnsentCause::NoFreeConnection), None);
+    }
+    assert!(holder.now_ms < 2_500, "the start is issued for {} ms", holder.now_ms - 1_000);
+    assert_eq!(count_gang_runs(&holder, RunState::Stopping), 2);
+}
+
+/// After a pause another daemon may hold the slice, and a host that refuses connections is down.
+#[test]
+fn gang_is_broken_at_once_if_its_start_can_not_be_issued_again() {
+    for cause in [UnsentCause::Expired, UnsentCause::ConnectFailed, UnsentCause::Unencodable] {
+        let (holder, _) = holder_with_unsent_member(cause);
+        assert_eq!(count_gang_runs(&holder, RunState::Stopping), 2, "{cause:?}");
+    }
+}
+
+/// The job is cancelled while the start of a gang member waits to be issued again.
+#[test]
+fn unsent_start_of_a_cancelled_job_is_not_issued_again() {
+    let (mut holder, _) = holder_with_unsent_member(UnsentCause::NoFreeConnection);
+    let from = PeerSender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    holder.receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(1)) });
+    for _ in 0..5 {
+        holder.tick(100);
+        assert!(holder.starts().is_empty());
+    }
+}
+
+/// The process was paused before the start of a gang member was issued again.
+#[test]
+fn unsent_start_from_before_a_pause_breaks_the_gang() {
+    let (mut holder, _) = holder_with_unsent_member(UnsentCause::NoFreeConnection);
+    for _ in 0..10 {
+        holder.tick(2_000);
+        assert!(holder.starts().is_empty(), "members that had started wait no longer");
+        holder.app.world_mut().holding.unconfirmed_since_ms = None;
+        holder.tick(1);
+        assert!(holder.starts().is_empty(), "members that had started wait no longer");
+        if count_gang_runs(&holder, RunState::Stopping) == 3 {
+            return;
+        }
+    }
+    panic!("the gang is not broken");
+}
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod store_writes;
 pub mod unrecorded_ends;
 pub mod unsent;
+pub mod unsent_starts;
 pub mod world;
 
 /// Re-exports the types that most systems use.
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -8,6 +8,7 @@
 use crate::keys::{HostKey, TaskKey};
 use crate::start_budget::StartBudget;
 use crate::start_window::StartWindow;
+use crate::unsent_starts::UnsentStart;
 
 /// State of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -99,6 +100,8 @@
     pub start_window: StartWindow,
     /// Bytes of start orders that the holder's link carries.
     pub start_budget: StartBudget,
+    /// Start orders that were not sent and are issued again.
+    pub unsent_starts: Vec<UnsentStart>,
     /// Runs that were ordered to stop and may need a further stop order.
     pub stopping: FxHashSet<RunKey>,
     /// When to look for stalled runs next, in monotonic milliseconds.
@@ -121,6 +124,7 @@
     pub fn clear(&mut self) {
         self.rows.clear();
         self.stopping.clear();
+        self.unsent_starts.clear();
         self.start_window = StartWindow::default();
         self.start_budget = StartBudget::default();
     }
