Limit the calls that peers relay

What callers would see: while the store fails for many daemons, the few that it still serves refuse their own callers.

Cause: calls that peers relay were taken in however many calls were open, and counted towards the limit from which callers are refused.

Change: a relayed call is refused once half of that limit is open. The refusal is true, and the peer goes on as after any other: it asks another daemon or the store.

Evidence: `relayed_calls_leave_room_for_callers_of_the_daemon` fails on the former code, which takes in all 3,000.

Why it works: callers of a daemon always have half of its open calls.

--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -8,7 +8,7 @@
 use crate::{accept, cancel, query, relay};
 
 /// Maximum number of open calls of a daemon; further ones are refused.
-const MAX_OPEN_CALLS: usize = 2_000;
+pub(crate) const MAX_OPEN_CALLS: usize = 2_000;
 
 /// Delay after which a refused caller should retry, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
--- a/crates/cassiahoist_jobs/src/relay.rs
+++ b/crates/cassiahoist_jobs/src/relay.rs
@@ -12,7 +12,7 @@
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
 
-use crate::calls::{ANSWER_MARGIN_MS, refuse_call};
+use crate::calls::{ANSWER_MARGIN_MS, MAX_OPEN_CALLS, RETRY_AFTER_MS, refuse_call};
 use crate::{accept, cancel, query};
 
 /// Duration of a store failure from which on calls are relayed, in milliseconds.
@@ -24,6 +24,9 @@
 /// Maximum number of times that one call is relayed.
 const MAX_RELAYS_PER_CALL: u32 = 2;
 
+/// Number of open calls from which calls of peers are refused. The rest is left to callers of this daemon.
+const MAX_CALLS_WITH_RELAYED: usize = MAX_OPEN_CALLS / 2;
+
 /// Time reserved for the peer's reply to arrive, in milliseconds.
 const REPLY_TRANSIT_MS: u64 = 60;
 
@@ -86,6 +89,12 @@
     };
     for (sender, message) in world.inbox.take_peer_messages(is_relay_message) {
         match message {
+            PeerMessage::RelayRequest { call, .. } if world.calls.open.len() >= MAX_CALLS_WITH_RELAYED => {
+                let (kind, retry_after_ms) = (ErrorKind::Overloaded, Some(RETRY_AFTER_MS));
+                let answer = CallAnswer::Error { kind, retry_after_ms };
+                let message = PeerMessage::RelayReply { call, answer };
+                world.emit(Effect::SendPeerMessage { address: sender.address, message });
+            }
             PeerMessage::RelayRequest { call, action, timeout_ms } => {
                 let origin = CallOrigin::Peer { address: sender.address, call };
                 serve_relayed_call(world, origin, action, now_ms + timeout_ms + ANSWER_MARGIN_MS, now_ms);
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -4,7 +4,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_standins::workload::{Workload, config_json};
-use cassiahoist_world::calls::{CallAction, CallAnswer, CallRequest};
+use cassiahoist_world::calls::{CallAction, CallAnswer, CallRequest, RelayAction};
 use cassiahoist_world::effect::Effect;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{Order, RunEnding};
@@ -267,3 +267,29 @@
     assert!(standby.store_calls().all(|call| call.purpose != StorePurpose::CancelJob(9)));
     assert_eq!(wait_for_error(&mut standby, 9), ErrorKind::RecordUncertain);
 }
+
+/// Many daemons lose the store and relay the calls of their callers to few peers.
+///
+/// These took in all of them, without a limit, and then refused calls of their own callers.
+#[test]
+fn relayed_calls_leave_room_for_callers_of_the_daemon() {
+    let mut daemon = TestDaemon::standby();
+    configure(&mut daemon);
+    let from = PeerSender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+    for call in 1..=3_000 {
+        let action = RelayAction::Store(job_record(call, vec![step(1)]));
+        let message = PeerMessage::RelayRequest { call, action, timeout_ms: 800 };
+        daemon.app.push_event(Event::PeerMessageReceived { from: from.clone(), message });
+    }
+    daemon.tick(1);
+    let refused_count = daemon.effects.iter().filter(|effect| {
+        let Effect::SendPeerMessage { message: PeerMessage::RelayReply { answer, .. }, .. } = effect else {
+            return false;
+        };
+        matches!(answer, CallAnswer::Error { kind: ErrorKind::Overloaded, .. })
+    });
+    assert_eq!(refused_count.count(), 2_000);
+    submit(&mut daemon, 9, br#"{"steps":[{"count":1}]}"#);
+    assert_eq!(answer_to(&daemon, 9), None);
+    assert_eq!(daemon.commits(|call| call.purpose == StorePurpose::StoreJob(9)).len(), 1);
+}
