Allow for the own delays of the holder in advice calls

What callers would see: jobs of queues with advice wait at a slow holder, which asks for less and less advice.

Cause: an answer that waits on the holder's link or for its tick counted as late after 40 ms, so that the daemon that had made the call got no other, and after 600 ms the call was made again at the cost of the service. Timeouts of orders allow for the latency of the quickest answer, those of advice did not: a failure of one's own taken for one of the other side.

Change: the expected time of an answer includes the same allowance.

Evidence: `advice_calls_allow_for_slow_answers_at_the_holder` fails on the former code: with answers that take 200 ms at the least, the only daemon gets one call and no second one within a second.

Why it works: without congestion the allowance is a few milliseconds, and with it a late answer no longer counts against the daemon that made the call.

--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -296,9 +296,11 @@
     let cost_ms = (cost.call_ms + cost.per_host_ms * hosts.len() as f64).ceil() as u64;
     let busy_until_ms = world.advice.busy_until_ms.entry(member.clone()).or_default();
     *busy_until_ms = (*busy_until_ms).max(now_ms) + cost_ms;
-    let expected_at_ms = *busy_until_ms;
+    let busy_until_ms = *busy_until_ms;
+    // Answers also wait on the holder's own link and for its ticks, which is not the fault of the daemon that calls.
+    let expected_at_ms = busy_until_ms + world.holding.answer_times.latency_allowance_ms();
     let abandon_at_ms = expected_at_ms + TIMEOUT_SLACK_MS;
-    let Some(step) = world.jobs.steps.get_mut(key) else { return expected_at_ms };
+    let Some(step) = world.jobs.steps.get_mut(key) else { return busy_until_ms };
     step.advice.open_call = Some(number);
     let host_names =
         hosts.iter().filter_map(|host| world.hosts.get(*host)).map(|host| host.entry.name.clone());
@@ -326,5 +328,5 @@
     };
     world.advice.open_calls.insert(number, open);
     world.wake_by(abandon_at_ms);
-    expected_at_ms
+    busy_until_ms
 }
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -252,6 +252,40 @@
     assert_eq!(holder.starts().len(), 1);
 }
 
+/// Answers reach the holder late since its own link or processor is slow.
+///
+/// It took the daemons that made the calls for late ones, and repeated the calls.
+#[test]
+fn advice_calls_allow_for_slow_answers_at_the_holder() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let own_incarnation = holder.app.world().local.incarnation.clone();
+    holder.app.world_mut().members.insert(
+        MemberRecord {
+            incarnation: own_incarnation,
+            peer_address: "10.1.0.0:7720".into(),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        },
+        0,
+    );
+    let now_ms = holder.now_ms;
+    for id in 1..=2 {
+        let mut advised_job = job_record(id, vec![step(1)]);
+        let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
+        policy.advice =
+            Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 2_500 });
+        cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+    }
+    holder.app.world_mut().holding.answer_times.min_latency_ms = 200;
+    let mut calls = 0;
+    for _ in 0..10 {
+        holder.tick(100);
+        calls += advice_calls(&holder);
+    }
+    assert_eq!(calls, 2, "one call for each step, and none is repeated within a second");
+    assert!(holder.app.world().advice.open_calls.values().all(|call| !call.abandoned));
+}
+
 /// A holder reads an answer with advice long after the service gave it, as over a full link or between long ticks.
 ///
 /// It took the tickets for valid from then on, and hosts refused the starts.
--- a/crates/cassiahoist_world/src/advice.rs
+++ b/crates/cassiahoist_world/src/advice.rs
@@ -87,7 +87,7 @@
     pub member: MemberName,
     /// When it was sent, in monotonic milliseconds.
     pub sent_at_ms: u64,
-    /// When its answer is expected by the service's cost, in monotonic milliseconds.
+    /// When its answer is expected by the service's cost and the holder's own delays, in monotonic milliseconds.
     pub expected_at_ms: u64,
     /// When the holder makes another call for the step instead, in monotonic milliseconds.
     pub abandon_at_ms: u64,
