Count queued jobs once for many calls

What callers would see: the more jobs there are and the more callers ask for their number, the longer the holder's ticks, for which all other work waits.

Found by reading for work that grows with the backlog; its cost was not measured.

Change: the holder keeps its count for 250 ms.

Evidence: `queued_jobs_are_counted_once_for_many_calls` fails on the former code.

Why it works: there are four counts a second at most, however many calls come.

--- a/crates/cassiahoist_jobs/src/query.rs
+++ b/crates/cassiahoist_jobs/src/query.rs
@@ -1,13 +1,14 @@
 //! Answers queries for the state of a job and the number of queued jobs.
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::calls::{CallAnswer, CallNumber, CallStage, OpenCall};
+use cassiahoist_world::calls::{CallAnswer, CallNumber, CallStage, OpenCall, QueuedJobs};
 use cassiahoist_world::peer::{HolderReply, PeerMessage};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::JobState;
 use cassiahoist_world::store::{
     StoreCompletion, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
 };
+use rustc_hash::FxHashMap;
 
 use crate::calls::{STORE_RETRY_MS, refuse_call};
 use crate::heartbeat::count_queued_jobs;
@@ -22,6 +23,9 @@
 /// Maximum age of a heartbeat whose counts are served to callers, in milliseconds.
 const MAX_QUEUED_JOBS_AGE_MS: u64 = 1_900;
 
+/// Maximum age of the holder's own count that is served to callers, in milliseconds.
+const MAX_COUNT_AGE_MS: u64 = 250;
+
 /// Answers with the number of jobs of a queue that have not started.
 ///
 /// Fails with [`ErrorKind::StateAway`] on a daemon without a recent heartbeat from the holder.
@@ -32,7 +36,7 @@
     now_ms: u64,
 ) -> Result<(), (ErrorKind, String)> {
     let known_count = if world.holding.is_holding() {
-        Some(count_queued_jobs(world).get(queue).copied().unwrap_or_default())
+        Some(recent_queued_jobs(world, now_ms).get(queue).copied().unwrap_or_default())
     } else {
         match &world.calls.holder_status {
             Some(status) if now_ms <= status.received_at_ms + MAX_QUEUED_JOBS_AGE_MS => {
@@ -48,6 +52,19 @@
     Ok(())
 }
 
+/// Returns the holder's count of queued jobs, by queue. It is counted anew if it is too old.
+///
+/// A count goes over all jobs, and many callers may ask at a time.
+fn recent_queued_jobs(world: &mut World, now_ms: u64) -> &FxHashMap<QueueName, u64> {
+    let earlier = world.calls.queued_jobs.take();
+    let recent = earlier.filter(|count| {
+        world.holding.is_since_claim(count.counted_at_ms) && now_ms < count.counted_at_ms + MAX_COUNT_AGE_MS
+    });
+    let count =
+        recent.unwrap_or_else(|| QueuedJobs { by_queue: count_queued_jobs(world), counted_at_ms: now_ms });
+    &world.calls.queued_jobs.insert(count).by_queue
+}
+
 /// Returns the state of a job that callers may see.
 ///
 /// `None` if the job is not in the tables of this daemon. Completion and failure become visible only once they are
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -293,3 +293,33 @@
     assert_eq!(answer_to(&daemon, 9), None);
     assert_eq!(daemon.commits(|call| call.purpose == StorePurpose::StoreJob(9)).len(), 1);
 }
+
+/// Requests the number of queued jobs in the queue of short jobs, and returns it.
+fn query_queued_jobs(daemon: &mut TestDaemon, call: u64) -> u64 {
+    let deadline_ms = daemon.now_ms + 1_000;
+    daemon.receive_event(Event::CallReceived(CallRequest {
+        number: call,
+        host_name: "desk.example".into(),
+        path: "/checks/".into(),
+        action: CallAction::Query,
+        body_bytes: 0,
+        deadline_ms,
+    }));
+    match answer_to(daemon, call) {
+        Some(CallAnswer::Pending(count)) => count,
+        answer => panic!("{answer:?}"),
+    }
+}
+
+/// The holder went over all of its jobs for each call that asks for the number of queued ones.
+#[test]
+fn queued_jobs_are_counted_once_for_many_calls() {
+    let mut holder = TestDaemon::with_hosts(0);
+    configure(&mut holder);
+    holder.add_job(1, vec![step(1)]);
+    assert_eq!(query_queued_jobs(&mut holder, 1), 1);
+    holder.add_job(2, vec![step(1)]);
+    assert_eq!(query_queued_jobs(&mut holder, 2), 1, "a count that is a few milliseconds old suffices");
+    holder.tick(300);
+    assert_eq!(query_queued_jobs(&mut holder, 3), 2);
+}
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -191,6 +191,15 @@
     pub received_at_ms: u64,
 }
 
+/// A count of the jobs that have not started.
+#[derive(Clone, Debug)]
+pub struct QueuedJobs {
+    /// Number of jobs by queue; queues without one are absent.
+    pub by_queue: FxHashMap<QueueName, u64>,
+    /// When they were counted, in monotonic milliseconds.
+    pub counted_at_ms: u64,
+}
+
 /// Open calls at this daemon.
 #[derive(Debug, Default)]
 pub struct CallTable {
@@ -202,6 +211,8 @@
     pub next_heartbeat_at_ms: u64,
     /// Latest heartbeat of the holder; `None` before the first.
     pub holder_status: Option<HolderStatus>,
+    /// Queued jobs at this daemon as holder, by queue; `None` before the first count.
+    pub queued_jobs: Option<QueuedJobs>,
 }
 
 impl CallTable {
