Remove old jobs as fast as they expire

What callers would see: after hours with more than two jobs a second each change of the holder takes longer, since it reads all records of all jobs that were not removed yet.

Cause: one transaction of ten jobs was sent every five seconds, whatever had expired.

Change: while a transaction is full, the next one follows after 500 ms, 20 jobs a second.

Evidence: `old_jobs_are_removed_as_fast_as_they_expire` fails on the former code: 50 of 60 jobs are left after five seconds.

Why it works: the rate follows what has expired, at one write to the store for ten jobs.

--- a/crates/cassiahoist_jobs/src/job_removal.rs
+++ b/crates/cassiahoist_jobs/src/job_removal.rs
@@ -8,9 +8,12 @@
     MAX_TRANSACTION_ENTRIES, StoreKey, StoreOp, StorePurpose, StoreReply, Transaction,
 };
 
-/// Interval between removals, in milliseconds.
+/// Interval between searches for expired jobs, in milliseconds. Each goes over all jobs.
 const JOB_REMOVAL_INTERVAL_MS: u64 = 5_000;
 
+/// Interval between removals while one transaction does not hold all expired jobs, in milliseconds.
+const REMAINING_JOBS_INTERVAL_MS: u64 = 500;
+
 /// Time beyond `bounds.status_ms` for which a job's state is kept, in milliseconds.
 ///
 /// `bounds.status_ms` is the time promised to callers.
@@ -22,6 +25,9 @@
 /// Store keys of each job: record, cancellation and progress.
 const KEYS_PER_JOB: usize = 3;
 
+/// Maximum number of jobs in one removal. One more entry of the transaction is the condition on the claim.
+const JOBS_PER_REMOVAL: usize = (MAX_TRANSACTION_ENTRIES - 1) / KEYS_PER_JOB;
+
 /// Removes expired jobs from the store, and then from the tables.
 ///
 /// A job has expired if its final state is recorded and it ended longer ago than `bounds.status_ms` and
@@ -52,8 +58,11 @@
         .filter(|(_, job)| job.state.is_final() && job.recorded_state == job.state)
         .filter(|(_, job)| job.ended_unix_ms < expired_before_unix_ms)
         .map(|(key, _)| key)
-        .take((MAX_TRANSACTION_ENTRIES - 1) / KEYS_PER_JOB)
+        .take(JOBS_PER_REMOVAL)
         .collect();
+    if expired.len() == JOBS_PER_REMOVAL {
+        world.store_writes.next_job_removal_at_ms = now_ms + REMAINING_JOBS_INTERVAL_MS;
+    }
     if expired.is_empty() {
         return;
     }
--- a/crates/cassiahoist_standins/tests/systems/recording.rs
+++ b/crates/cassiahoist_standins/tests/systems/recording.rs
@@ -251,3 +251,25 @@
     holder.answer_store(commits[0].clone(), Ok(StoreReply::Committed { revision: 60 }));
     assert_eq!(holder.app.world().hosts.get(host).unwrap().last_end_recorded, 0);
 }
+
+/// Jobs end faster than ten in five seconds. Their records and rows stayed for longer and longer, and each new holder had to
+/// read all of them.
+#[test]
+fn old_jobs_are_removed_as_fast_as_they_expire() {
+    let mut holder = TestDaemon::with_hosts(0);
+    for id in 1..=60 {
+        let key = holder.add_job(id, vec![step(1)]);
+        let job = holder.app.world_mut().jobs.get_mut(key).unwrap();
+        job.state = JobState::Completed;
+        job.recorded_state = JobState::Completed;
+        job.ended_unix_ms = 1;
+    }
+    let from_ms = holder.now_ms;
+    while !holder.app.world().jobs.is_empty() {
+        holder.tick(50);
+        assert!(holder.now_ms < from_ms + 5_000, "{} jobs are left", holder.app.world().jobs.len());
+        for call in holder.commits(|call| call.purpose == StorePurpose::RemoveJobs) {
+            holder.answer_store(call, Ok(StoreReply::Committed { revision: 60 }));
+        }
+    }
+}
