--- a/crates/cassiahoist_standins/tests/systems/backlog.rs
+++ b/crates/cassiahoist_standins/tests/systems/backlog.rs
@@ -10,7 +10,6 @@
 use cassiahoist_world::jobs::StepKey;
 use cassiahoist_world::orders::{HostLists, Order, RunEnding};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
-use cassiahoist_world::record::MemberRecord;
 use cassiahoist_world::spec::{Repeat, StepSpec};
 use cassiahoist_world::world::World;
 
@@ -32,15 +31,7 @@
         let host = holder.app.world_mut().hosts.get_mut(key).unwrap();
         host.reserved = host.entry.capacity;
     }
-    holder.app.world_mut().members.insert(
-        MemberRecord {
-            incarnation: "edge-0#1".parse().unwrap(),
-            peer_address: "10.1.0.0:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
+    holder.add_member(0);
     let now_ms = holder.now_ms;
     for id in 1..=job_count {
         let mut advised_job = job_record(id, vec![step(3)]);
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -9,7 +9,6 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{Order, RunEnding};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
-use cassiahoist_world::record::MemberRecord;
 use cassiahoist_world::store::{StoreFailure, StorePurpose};
 
 use crate::support::{FENCE, TestDaemon, end, ended_lists, job_record, step, task_name};
@@ -104,15 +103,7 @@
 #[test]
 fn largest_host_size_spreads_by_heartbeat_and_expires() {
     let mut holder = TestDaemon::with_hosts(1);
-    holder.app.world_mut().members.insert(
-        MemberRecord {
-            incarnation: "edge-1#1".parse().unwrap(),
-            peer_address: "10.1.0.1:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
+    holder.add_member(1);
     holder.tick(10);
     let heartbeat = holder.effects.iter().find_map(|effect| match effect {
         Effect::SendPeerMessage { message: message @ PeerMessage::Heartbeat { .. }, .. } => {
@@ -138,17 +129,8 @@
 fn submission_without_store_is_relayed_and_uncertain_on_timeout() {
     let mut holder = TestDaemon::with_hosts(0);
     configure(&mut holder);
-    let world = holder.app.world_mut();
-    world.members.insert(
-        MemberRecord {
-            incarnation: "edge-1#1".parse().unwrap(),
-            peer_address: "10.1.0.1:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
-    world.store_connection.failing_since_ms = Some(500);
+    holder.add_member(1);
+    holder.app.world_mut().store_connection.failing_since_ms = Some(500);
     submit(&mut holder, 9, br#"{"steps":[{"count":1}]}"#);
     let relayed = holder.effects.iter().any(|effect| {
         matches!(effect, Effect::SendPeerMessage { address, message: PeerMessage::RelayRequest { call: 9, .. } }
@@ -252,17 +234,8 @@
 fn relayed_cancellation_without_a_reply_is_not_refused() {
     let mut standby = TestDaemon::standby();
     configure(&mut standby);
-    let world = standby.app.world_mut();
-    world.members.insert(
-        MemberRecord {
-            incarnation: "edge-1#1".parse().unwrap(),
-            peer_address: "10.1.0.1:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
-    world.store_connection.failing_since_ms = Some(500);
+    standby.add_member(1);
+    standby.app.world_mut().store_connection.failing_since_ms = Some(500);
     request_cancellation(&mut standby, 9, JobId(1));
     assert!(standby.store_calls().all(|call| call.purpose != StorePurpose::CancelJob(9)));
     assert_eq!(wait_for_error(&mut standby, 9), ErrorKind::RecordUncertain);
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -8,13 +8,11 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::jobs::TaskState;
 use cassiahoist_world::orders::{HostLists, Order, RunEnding};
-use cassiahoist_world::record::{JobState, MemberRecord};
+use cassiahoist_world::record::JobState;
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::store::{StorePurpose, StoreReply};
 
-use crate::support::{
-    TestDaemon, end, ended_lists, host_entry, job_record, running, running_lists, step, task_name,
-};
+use crate::support::{TestDaemon, end, ended_lists, host_entry, running, running_lists, step, task_name};
 
 #[test]
 fn tasks_never_exceed_host_capacity() {
@@ -184,12 +182,8 @@
 #[test]
 fn ticket_of_an_earlier_host_incarnation_is_ignored() {
     let mut holder = TestDaemon::with_hosts(1);
-    let mut advised_job = job_record(1, vec![step(1)]);
-    let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
-    policy.advice =
-        Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 2_500 });
     let now_ms = holder.now_ms;
-    let job = cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+    let job = holder.add_advised_job(1, 2_500);
     let host = holder.host(0);
     let step_key = holder.app.world().jobs.get(job).unwrap().steps[0];
     let mut ticket = Ticket { text: Arc::from("t"), expires_at_ms: now_ms + 2_000, host_started_unix_ms: 1 };
@@ -213,23 +207,9 @@
 #[test]
 fn unanswered_advice_stops_further_calls() {
     let mut holder = TestDaemon::with_hosts(20);
-    let own_incarnation = holder.app.world().local.incarnation.clone();
-    holder.app.world_mut().members.insert(
-        MemberRecord {
-            incarnation: own_incarnation,
-            peer_address: "10.1.0.0:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
+    holder.add_member(0);
     for id in 1..=6 {
-        let mut advised_job = job_record(id, vec![step(1)]);
-        let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
-        policy.advice =
-            Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 2_500 });
-        let now_ms = holder.now_ms;
-        cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+        holder.add_advised_job(id, 2_500);
     }
     let mut calls = 0;
     for _ in 0..100 {
@@ -258,23 +238,9 @@
 #[test]
 fn advice_calls_allow_for_slow_answers_at_the_holder() {
     let mut holder = TestDaemon::with_hosts(1);
-    let own_incarnation = holder.app.world().local.incarnation.clone();
-    holder.app.world_mut().members.insert(
-        MemberRecord {
-            incarnation: own_incarnation,
-            peer_address: "10.1.0.0:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
-    let now_ms = holder.now_ms;
+    holder.add_member(0);
     for id in 1..=2 {
-        let mut advised_job = job_record(id, vec![step(1)]);
-        let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
-        policy.advice =
-            Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 2_500 });
-        cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+        holder.add_advised_job(id, 2_500);
     }
     holder.app.world_mut().holding.answer_times.min_latency_ms = 200;
     let mut calls = 0;
@@ -292,22 +258,8 @@
 #[test]
 fn lifetime_of_a_ticket_counts_from_the_answer_of_the_service() {
     let mut holder = TestDaemon::with_hosts(1);
-    let own_incarnation = holder.app.world().local.incarnation.clone();
-    holder.app.world_mut().members.insert(
-        MemberRecord {
-            incarnation: own_incarnation,
-            peer_address: "10.1.0.0:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
-    let mut advised_job = job_record(1, vec![step(1)]);
-    let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
-    policy.advice =
-        Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 600 });
-    let now_ms = holder.now_ms;
-    cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+    holder.add_member(0);
+    holder.add_advised_job(1, 600);
     holder.tick(10);
     let (call, sent_at_ms) = (*holder.app.world().advice.open_calls.keys().min().unwrap(), holder.now_ms);
     holder.now_ms += 400;
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -6,7 +6,7 @@
 use cassiahoist_daemon::build_daemon_app;
 use cassiahoist_jobs::insert_job;
 use cassiahoist_world::app::App;
-use cassiahoist_world::config::QueuePolicy;
+use cassiahoist_world::config::{AdviceCost, QueuePolicy};
 use cassiahoist_world::effect::Effect;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::holding::HoldingEvent;
@@ -16,7 +16,7 @@
 use cassiahoist_world::orders::{
     EndReport, HostLists, HostOrder, Order, OrderCompletion, OrderOutcome, RunEnding, RunReport,
 };
-use cassiahoist_world::record::{ClaimRecord, JobRecord};
+use cassiahoist_world::record::{ClaimRecord, JobRecord, MemberRecord};
 use cassiahoist_world::spec::{JobSpec, StepSpec};
 use cassiahoist_world::store::{
     KeySpace, StoreCall, StoreChange, StoreCompletion, StoreFailure, StoreItem, StoreKey, StoreOp,
@@ -104,6 +104,17 @@
         Self { app: build_daemon_app(new_local()), now_ms: 1_000, effects: Vec::new() }
     }
 
+    /// Registers a daemon on a machine with the default limits; number 0 is the tested daemon itself.
+    pub fn add_member(&mut self, number: u64) {
+        let record = MemberRecord {
+            incarnation: format!("edge-{number}#1").parse().unwrap(),
+            peer_address: format!("10.1.0.{number}:7720"),
+            domain: FailureDomain::new("obihiro").unwrap(),
+            limits: MachineLimits::default(),
+        };
+        self.app.world_mut().members.insert(record, 0);
+    }
+
     /// Advances the time and runs a tick.
     pub fn tick(&mut self, elapsed_ms: u64) -> &[Effect] {
         self.now_ms += elapsed_ms;
@@ -142,6 +153,15 @@
         insert_job(self.app.world_mut(), &job_record(id, steps), None, now_ms)
     }
 
+    /// Adds a job of one task whose queue needs advice, with tickets of this lifetime.
+    pub fn add_advised_job(&mut self, id: u64, ticket_ms: u64) -> JobKey {
+        let mut record = job_record(id, vec![step(1)]);
+        let policy = Arc::make_mut(&mut Arc::make_mut(&mut record).policy);
+        policy.advice = Some(AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms });
+        let now_ms = self.now_ms;
+        insert_job(self.app.world_mut(), &record, None, now_ms)
+    }
+
     /// Finds a host by its number.
     pub fn host(&self, number: u64) -> HostKey {
         self.app.world().hosts.find(&host_entry(number).name).unwrap()
