--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -100,7 +100,9 @@
         world.log(log_record.with("member", open.member).with("took_ms", now_ms - open.sent_at_ms));
         return;
     };
-    let expires_at_ms = now_ms + answer.ticket_ms;
+    // The answer may have waited on the way and for this tick, so its earliest possible time counts.
+    let answered_at_ms = (open.sent_at_ms + answer.took_ms).min(now_ms);
+    let expires_at_ms = answered_at_ms + answer.ticket_ms;
     let queried_count = open.hosts.len();
     let mut approved_count = 0_usize;
     for key in open.hosts {
@@ -303,9 +305,11 @@
     let cost_ms = (cost.call_ms + cost.per_host_ms * hosts.len() as f64).ceil() as u64;
     let busy_until_ms = world.advice.busy_until_ms.entry(member.clone()).or_default();
     *busy_until_ms = (*busy_until_ms).max(now_ms) + cost_ms;
-    let expected_at_ms = *busy_until_ms;
+    let busy_until_ms = *busy_until_ms;
+    // Answers also wait on the holder's own link and for its ticks, which is not the fault of the daemon that calls.
+    let expected_at_ms = busy_until_ms + world.holding.answer_times.latency_allowance_ms();
     let abandon_at_ms = expected_at_ms + TIMEOUT_SLACK_MS;
-    let Some(step) = world.jobs.steps.get_mut(key) else { return expected_at_ms };
+    let Some(step) = world.jobs.steps.get_mut(key) else { return busy_until_ms };
     step.advice.open_call = Some(number);
     let host_names =
         hosts.iter().filter_map(|host| world.hosts.get(*host)).map(|host| host.entry.name.clone());
@@ -333,5 +337,5 @@
     };
     world.advice.open_calls.insert(number, open);
     world.wake_by(abandon_at_ms);
-    expected_at_ms
+    busy_until_ms
 }
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -8,13 +8,11 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::jobs::TaskState;
 use cassiahoist_world::orders::{HostLists, Order, RunEnding};
-use cassiahoist_world::record::{JobState, MemberRecord};
+use cassiahoist_world::record::JobState;
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::store::{StorePurpose, StoreReply};
 
-use crate::support::{
-    TestDaemon, end, ended_lists, host_entry, job_record, running, running_lists, step, task_name,
-};
+use crate::support::{TestDaemon, end, ended_lists, host_entry, running, running_lists, step, task_name};
 
 #[test]
 fn tasks_never_exceed_host_capacity() {
@@ -184,12 +182,8 @@
 #[test]
 fn ticket_of_an_earlier_host_incarnation_is_ignored() {
     let mut holder = TestDaemon::with_hosts(1);
-    let mut advised_job = job_record(1, vec![step(1)]);
-    let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
-    policy.advice =
-        Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 2_500 });
     let now_ms = holder.now_ms;
-    let job = cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+    let job = holder.add_advised_job(1, 2_500);
     let host = holder.host(0);
     let step_key = holder.app.world().jobs.get(job).unwrap().steps[0];
     let mut ticket = Ticket { text: Arc::from("t"), expires_at_ms: now_ms + 2_000, host_started_unix_ms: 1 };
@@ -213,23 +207,9 @@
 #[test]
 fn unanswered_advice_stops_further_calls() {
     let mut holder = TestDaemon::with_hosts(20);
-    let own_incarnation = holder.app.world().local.incarnation.clone();
-    holder.app.world_mut().members.insert(
-        MemberRecord {
-            incarnation: own_incarnation,
-            peer_address: "10.1.0.0:7720".into(),
-            domain: FailureDomain::new("obihiro").unwrap(),
-            limits: MachineLimits::default(),
-        },
-        0,
-    );
+    holder.add_member(0);
     for id in 1..=6 {
-        let mut advised_job = job_record(id, vec![step(1)]);
-        let policy = Arc::make_mut(&mut Arc::make_mut(&mut advised_job).policy);
-        policy.advice =
-            Some(cassiahoist_world::config::AdviceCost { call_ms: 20.0, per_host_ms: 0.3, ticket_ms: 2_500 });
-        let now_ms = holder.now_ms;
-        cassiahoist_jobs::insert_job(holder.app.world_mut(), &advised_job, None, now_ms);
+        holder.add_advised_job(id, 2_500);
     }
     let mut calls = 0;
     for _ in 0..100 {
@@ -246,11 +226,56 @@
             ticket: Arc::from("t"),
         }]),
         ticket_ms: 2_500,
+        took_ms: 2_000,
     };
     holder.receive_event(Event::AdviceReceived(answer));
     assert_eq!(holder.starts().len(), 1);
 }
 
+/// Answers reach the holder late since its own link or processor is slow.
+///
+/// It took the daemons that made the calls for late ones, and repeated the calls.
+#[test]
+fn advice_calls_allow_for_slow_answers_at_the_holder() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_member(0);
+    for id in 1..=2 {
+        holder.add_advised_job(id, 2_500);
+    }
+    holder.app.world_mut().holding.answer_times.min_latency_ms = 200;
+    let mut calls = 0;
+    for _ in 0..10 {
+        holder.tick(100);
+        calls += advice_calls(&holder);
+    }
+    assert_eq!(calls, 2, "one call for each step, and none is repeated within a second");
+    assert!(holder.app.world().advice.open_calls.values().all(|call| !call.abandoned));
+}
+
+/// A holder reads an answer with advice long after the service gave it, as over a full link or between long ticks.
+///
+/// It took the tickets for valid from then on, and hosts refused the starts.
+#[test]
+fn lifetime_of_a_ticket_counts_from_the_answer_of_the_service() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_member(0);
+    holder.add_advised_job(1, 600);
+    holder.tick(10);
+    let (call, sent_at_ms) = (*holder.app.world().advice.open_calls.keys().min().unwrap(), holder.now_ms);
+    holder.now_ms += 400;
+    // An answer on the wire, as daemons of any version send it.
+    let answer = serde_json::json!({
+        "call": call,
+        "good": [{"host": host_entry(0).name, "ticket": "t"}],
+        "ticket_ms": 600,
+        "took_ms": 30,
+    });
+    holder.receive_event(Event::AdviceReceived(serde_json::from_value(answer).unwrap()));
+    let step = holder.app.world().jobs.steps.values().next().unwrap();
+    let tickets = step.advice.approved_hosts.values();
+    assert_eq!(tickets.map(|ticket| ticket.expires_at_ms).collect::<Vec<_>>(), [sent_at_ms + 30 + 600]);
+}
+
 #[test]
 fn tasks_respect_pool_label_and_limit_per_host() {
     let mut holder = TestDaemon::with_hosts(3);
@@ -295,7 +320,7 @@
 
 /// Adds a job of one task whose call for advice takes `call_ms`.
 fn add_advised_job(holder: &mut TestDaemon, id: u64, call_ms: f64) {
-    let mut job = job_record(id, vec![step(1)]);
+    let mut job = crate::support::job_record(id, vec![step(1)]);
     let policy = Arc::make_mut(&mut Arc::make_mut(&mut job).policy);
     policy.advice =
         Some(cassiahoist_world::config::AdviceCost { call_ms, per_host_ms: 0.0, ticket_ms: 2_500 });
@@ -310,13 +335,7 @@
 #[test]
 fn daemon_with_a_long_call_gets_no_further_one() {
     let mut holder = TestDaemon::with_hosts(4);
-    let record = MemberRecord {
-        incarnation: "edge-0#1".parse().unwrap(),
-        peer_address: "10.1.0.0:7720".into(),
-        domain: FailureDomain::new("obihiro").unwrap(),
-        limits: MachineLimits::default(),
-    };
-    holder.app.world_mut().members.insert(record, 0);
+    holder.add_member(0);
     add_advised_job(&mut holder, 1, 20.0);
     holder.tick(10);
     assert_eq!(advice_calls(&holder), 1);
@@ -324,8 +343,12 @@
     holder.tick(15);
     assert_eq!(advice_calls(&holder), 1, "the next call is sent shortly before the first is answered");
     let call = *holder.app.world().advice.open_calls.keys().min().unwrap();
-    let answer =
-        cassiahoist_world::advice::AdviceAnswer { call, approved: Some(Vec::new()), ticket_ms: 2_500 };
+    let answer = cassiahoist_world::advice::AdviceAnswer {
+        call,
+        approved: Some(Vec::new()),
+        ticket_ms: 2_500,
+        took_ms: 20,
+    };
     holder.receive_event(Event::AdviceReceived(answer));
     add_advised_job(&mut holder, 3, 20.0);
     let mut waited_ms = 0;
--- a/crates/cassiahoist_traffic/tests/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/tests/traffic_meter.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use cassiahoist_core::prelude::*;
+use cassiahoist_telemetry::LogWriter;
+use cassiahoist_traffic::caller_connections::CallerConnections;
 use cassiahoist_traffic::caller_server::CallerServer;
 use cassiahoist_traffic::clock::MonotonicClock;
 use cassiahoist_traffic::control_link::ControlLink;
@@ -170,6 +172,8 @@
         clock: MonotonicClock::new(),
         control: ControlLink::new(sender),
         meter: meter.clone(),
+        connections: CallerConnections::new(4),
+        log: LogWriter::with_output(Severity::Error, &"edge-0#1".parse().unwrap(), std::io::sink()).unwrap(),
     };
     drop(tokio::spawn(server.serve(listener, stop)));
     let request = Request::get("/").header("host", "host").body(Full::default()).unwrap();
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -191,6 +191,15 @@
     pub received_at_ms: u64,
 }
 
+/// A count of the jobs that have not started.
+#[derive(Clone, Debug)]
+pub struct QueuedJobs {
+    /// Number of jobs by queue; queues without one are absent.
+    pub by_queue: FxHashMap<QueueName, u64>,
+    /// When they were counted, in monotonic milliseconds.
+    pub counted_at_ms: u64,
+}
+
 /// Open calls at this daemon.
 #[derive(Debug, Default)]
 pub struct CallTable {
@@ -204,6 +213,8 @@
     pub holder_status: Option<HolderStatus>,
     /// Since when the holder's heartbeats have not arrived, in monotonic milliseconds. `None` if they arrive.
     pub holder_silent_since_ms: Option<u64>,
+    /// Queued jobs at this daemon as holder, by queue; `None` before the first count.
+    pub queued_jobs: Option<QueuedJobs>,
 }
 
 impl CallTable {
