Show the limit of callers' connections beside their number

What was missing: callers have a limit of their own since their connections are bounded, and neither line nor metric showed it.

--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -107,7 +107,7 @@
     }),
 ];
 
-const GAUGES: [(&str, &str, ReadValue); 33] = [
+const GAUGES: [(&str, &str, ReadValue); 34] = [
     ("cassiahoist_calls_open", "Calls in progress", |w| w.calls.open.len() as u64),
     ("cassiahoist_jobs_open", "Jobs in this daemon's tables", |w| w.jobs.len() as u64),
     ("cassiahoist_runs_open", "Runs that occupy resources", |w| w.runs.rows.len() as u64),
@@ -139,6 +139,9 @@
     ("cassiahoist_caller_connections_open", "Open connections of callers", |w| {
         w.load.traffic.connections.callers
     }),
+    ("cassiahoist_caller_connections_limit", "Most open connections of callers", |w| {
+        w.load.traffic.connections.callers_limit
+    }),
     ("cassiahoist_peer_connections_open", "Open connections to and from peers", |w| {
         w.load.traffic.connections.peers
     }),
--- a/crates/cassiahoist_daemon/tests/metrics.rs
+++ b/crates/cassiahoist_daemon/tests/metrics.rs
@@ -41,6 +41,7 @@
     traffic.connections.hosts = 2_800;
     traffic.connections.hosts_limit = 2_829;
     traffic.connections.callers = 41;
+    traffic.connections.callers_limit = 565;
     traffic.connections.peers = 146;
     traffic.connections.store = 3;
     traffic.connections.advice = 2;
@@ -61,6 +62,7 @@
         ("host_connections_open", 2_800),
         ("host_connections_limit", 2_829),
         ("caller_connections_open", 41),
+        ("caller_connections_limit", 565),
         ("peer_connections_open", 146),
         ("store_connections_open", 3),
         ("advice_connections_open", 2),
--- a/crates/cassiahoist_traffic/src/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/src/traffic_meter.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use cassiahoist_core::descriptors::max_caller_connections;
 use cassiahoist_world::traffic::{OpenConnections, TrafficKind, TrafficTotals};
 use cassiahoist_world::unsent::UnsentCause;
 use hyper::body::Body;
@@ -32,7 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TrafficMeter {
     totals: Arc<Totals>,
-    descriptors_limit: u64,
+    descriptors_limit: usize,
 }
 
 /// Amount that is counted as long as this value lives.
@@ -59,7 +60,7 @@
     /// Sets the number of descriptors that the process may open, which is shown beside the connections.
     #[must_use]
     pub fn with_descriptors_limit(self, descriptors_limit: usize) -> Self {
-        Self { descriptors_limit: descriptors_limit as u64, ..self }
+        Self { descriptors_limit, ..self }
     }
 
     /// Runs an exchange, and counts its request while it is open and its result.
@@ -139,7 +140,8 @@
             connections: OpenConnections {
                 callers: read(&totals.caller_connections),
                 peers: read(&totals.accepted_peer_connections),
-                descriptors_limit: self.descriptors_limit,
+                callers_limit: max_caller_connections(self.descriptors_limit) as u64,
+                descriptors_limit: self.descriptors_limit as u64,
                 ..OpenConnections::default()
             },
         }
--- a/crates/cassiahoist_traffic/tests/traffic_meter.rs
+++ b/crates/cassiahoist_traffic/tests/traffic_meter.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cassiahoist_core::descriptors::max_caller_connections;
 use cassiahoist_core::prelude::*;
 use cassiahoist_telemetry::LogWriter;
 use cassiahoist_traffic::caller_connections::CallerConnections;
@@ -99,6 +100,14 @@
     assert_eq!(meter.totals().connections.callers, 0);
 }
 
+/// The limit shown is the one that the server of a process with as many descriptors keeps to.
+#[test]
+fn limits_of_connections_follow_from_the_descriptors() {
+    let connections = TrafficMeter::new().with_descriptors_limit(4_100).totals().connections;
+    assert_eq!(connections.descriptors_limit, 4_100);
+    assert_eq!(connections.callers_limit, max_caller_connections(4_100) as u64);
+}
+
 #[test]
 fn request_takes_its_path_headers_and_body() {
     let request =
--- a/crates/cassiahoist_world/src/load.rs
+++ b/crates/cassiahoist_world/src/load.rs
@@ -222,6 +222,7 @@
             ("host_connections", self.connections.hosts),
             ("host_connections_limit", self.connections.hosts_limit),
             ("caller_connections", self.connections.callers),
+            ("caller_connections_limit", self.connections.callers_limit),
             ("peer_connections", self.connections.peers),
             ("store_connections", self.connections.store),
             ("advice_connections", self.connections.advice),
--- a/crates/cassiahoist_world/src/traffic.rs
+++ b/crates/cassiahoist_world/src/traffic.rs
@@ -38,6 +38,8 @@
     pub hosts_limit: u64,
     /// Connections of callers.
     pub callers: u64,
+    /// Most connections of callers.
+    pub callers_limit: u64,
     /// Connections to and from peers.
     pub peers: u64,
     /// Connections to the store.
