Play overlapping misfortunes in prove

What other operators met overlaps: hosts that restart and are announced late, orders that take effect late, silent hosts, a silent store, changes of the holder, values that nobody can read, hosts that have left.

--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod link;
 pub mod machine;
+mod misfortunes;
 mod narrow;
 pub mod processor;
 
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -419,6 +419,26 @@
     }
 }
 
+/// Restarts that are announced late, late orders, silence and changes of the holder overlap.
+#[test]
+fn overlapping_misfortunes_violate_no_invariant() {
+    for seed in 1..=24 {
+        let violations = Simulation::new(seed, Scenario::misfortunes(seed)).run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+    }
+}
+
+/// Start orders filled the holder's link, and polls and renewals of its lease were late behind them.
+#[test]
+fn narrow_link_of_the_holder_loses_no_job() {
+    for seed in 1..=6 {
+        let mut sim = Simulation::new(seed, Scenario::narrow(seed));
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+        assert_eq!(sim.callers.open_jobs(), 0, "seed {seed}: some accepted jobs haven't ended");
+    }
+}
+
 /// Plays the crowded scenario of a seed, which has to violate no invariant.
 fn run_crowded(seed: u64) {
     let violations = Simulation::new(seed, Scenario::crowded(seed)).run();
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -1,8 +1,8 @@
 //! Runs seeded simulations with faults and checks them against the scheduler's invariants.
 //!
 //! `cargo run --release --example prove -- --seeds 500`; `--seed N` repeats one seed and prints its log. Each seed is
-//! played with all workloads, and one in twenty with the crowded and the narrow scenario, which take longer;
-//! `--crowded-seeds N` sets their number.
+//! played with all workloads and with overlapping misfortunes, and one in twenty with the crowded and the narrow scenario,
+//! which take longer; `--crowded-seeds N` sets their number.
 
 use std::process::ExitCode;
 
@@ -24,6 +24,8 @@
     Crowded,
     /// A link of the holder that start orders fill.
     Narrow,
+    /// Restarts, late orders, silence and changes of the holder that overlap.
+    Misfortunes,
 }
 
 impl Day {
@@ -32,6 +34,7 @@
             Self::Seeded(workload) => Scenario::from_seed(seed, workload),
             Self::Crowded => Scenario::crowded(seed),
             Self::Narrow => Scenario::narrow(seed),
+            Self::Misfortunes => Scenario::misfortunes(seed),
         }
     }
 }
@@ -46,17 +49,24 @@
     copies: bool,
     crowded: bool,
     narrow: bool,
+    misfortunes: bool,
 }
 
 impl Args {
     /// Returns the kind of day that `--seed` plays.
     fn day(&self) -> Day {
-        match (self.crowded, self.narrow, self.varied, self.copies) {
-            (true, ..) => Day::Crowded,
-            (_, true, ..) => Day::Narrow,
-            (_, _, true, _) => Day::Seeded(Workload::Varied),
-            (_, _, _, true) => Day::Seeded(Workload::Copies),
-            (false, false, false, false) => Day::Seeded(Workload::Plain),
+        if self.crowded {
+            Day::Crowded
+        } else if self.narrow {
+            Day::Narrow
+        } else if self.misfortunes {
+            Day::Misfortunes
+        } else if self.varied {
+            Day::Seeded(Workload::Varied)
+        } else if self.copies {
+            Day::Seeded(Workload::Copies)
+        } else {
+            Day::Seeded(Workload::Plain)
         }
     }
 
@@ -64,10 +74,12 @@
     fn days(&self) -> Vec<(u64, Day)> {
         let seeds = self.from..self.from + self.seeds;
         let crowded_seeds = self.crowded_seeds.unwrap_or(self.seeds / SEEDS_PER_CROWDED);
-        let seeded = seeds.flat_map(|seed| Workload::ALL.map(|workload| (seed, Day::Seeded(workload))));
+        let [plain, varied, copies] = Workload::ALL.map(Day::Seeded);
+        let small_days = [plain, varied, copies, Day::Misfortunes];
+        let small = seeds.flat_map(|seed| small_days.map(|day| (seed, day)));
         let large_days = [Day::Crowded, Day::Narrow];
         let large = (self.from..self.from + crowded_seeds).flat_map(|seed| large_days.map(|day| (seed, day)));
-        seeded.chain(large).collect()
+        small.chain(large).collect()
     }
 }
 
@@ -90,7 +102,10 @@
         .switch();
     let narrow =
         long("narrow").help("With --seed: plays a link of the holder that start orders fill").switch();
-    construct!(Args { seeds, crowded_seeds, from, seed, varied, copies, crowded, narrow })
+    let misfortunes = long("misfortunes")
+        .help("With --seed: plays restarts, late orders, silence and changes of the holder that overlap")
+        .switch();
+    construct!(Args { seeds, crowded_seeds, from, seed, varied, copies, crowded, narrow, misfortunes })
         .to_options()
         .descr("Runs seeded simulations with faults")
 }
