Keep an unreadable roster until the run leases have expired

What callers would see: a task that runs twice after two changes of the holder and a roster that can't be read.

Cause: the first new holder waited for the run leases, and meanwhile wrote a roster of its own. It did not list the hosts that only the unreadable one had listed, so the next holder did not wait for them.

Change: the roster is written only once these leases have expired.

--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -21,6 +21,13 @@
     if !world.holding.is_holding() || world.store_writes.roster_in_flight {
         return;
     }
+    if world.holding.loading.is_roster_unreadable {
+        // The next holder, too, has to wait for hosts that only the unreadable roster lists.
+        let leases_end_at_ms = world.holding.polling_since_ms + world.local.bounds.max_run_lease_ms();
+        if now_ms < leases_end_at_ms {
+            return world.wake_by(leases_end_at_ms);
+        }
+    }
     let is_incomplete =
         world.hosts.iter_engaged().any(|(_, host)| !host.in_roster && host.accepts_new_runs(now_ms));
     if !is_incomplete && !world.store_writes.roster_stale {
