Give work again to a host whose lists reveal its restart

What callers see: jobs wait although hosts are free. After a restart that the holder learned of from a host's lists and not from its entry, the host got no work for as long as that daemon held the slice.

Cause: the reset of a restarted host makes its clock unknown, after the answer with the lists had given it. The same lists then adopted the host, and an adopted host without runs is not polled. So the clock stayed unknown, without which a host gets no start.

Change: the clock of that answer is kept.

--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -1,7 +1,7 @@
 //! Lists of running and ended runs that a host returns to a poll.
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::hosts::{Adoption, HostKey, OrphanRuns};
+use cassiahoist_world::hosts::{Adoption, HostKey, OrphanRuns, Restart};
 use cassiahoist_world::jobs::TaskState;
 use cassiahoist_world::orders::{EndReport, HostLists, Order, RunEnding, RunReport};
 use cassiahoist_world::prelude::*;
@@ -31,6 +31,9 @@
         reset_restarted_host(world, key, "it reported a new incarnation", now_ms);
         if let Some(host) = world.hosts.get_mut(key) {
             host.entry.started_unix_ms = started_unix_ms;
+            // The answer with these lists has already given the clock of the new incarnation.
+            host.clock_known = host.last_answer_at_ms == now_ms;
+            host.last_restart = Some(Restart { noticed_at_ms: now_ms, earlier_clock_offset_ms: None });
         }
     }
     if let Some(host) = world.hosts.get_mut(key) {
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -238,3 +238,19 @@
         "its clock is that of the new incarnation"
     );
 }
+
+/// The lists of a host reveal its restart before its entry does.
+///
+/// They count as the first ones of the new incarnation, so the host was not polled again. But its clock counted as unknown, and
+/// it got no work for as long as the holder held the slice.
+#[test]
+fn host_whose_lists_reveal_a_restart_gets_work_again() {
+    let mut holder = TestDaemon::with_hosts(1);
+    let started_unix_ms = Some(host_entry(0).started_unix_ms + 50_000);
+    holder.report_lists_at(0, HostLists { started_unix_ms, ..HostLists::default() }, 500);
+    let write = holder.store_calls().find(|call| call.purpose == StorePurpose::WriteRoster).cloned();
+    holder.answer_store(write.expect("the host accepts work"), Ok(StoreReply::Committed { revision: 90 }));
+    holder.add_job(1, vec![step(1)]);
+    holder.tick(50);
+    assert_eq!(holder.app.world().counters.starts, 1);
+}
