Release the slice if hardly any starts can be open

Callers saw: nothing yet; found by reading after the other faults of the detection of slow holders. Cause: the limit of open starts halves while the quickest answer takes 60 ms, and a holder counts as slow from 100 ms on with the limit at its smallest. One whose answers lie between, or whose limit goes up and down between eight and sixteen, is never judged slow and starts a tenth of the work for good. Change: a holder whose limit has been at most sixteen for two seconds while it was in use releases the slice in the same way, unless its start orders fill the best link. HolderSlow gives the cause and the limit.

--- a/crates/cassiahoist_membership/src/slow_holder.rs
+++ b/crates/cassiahoist_membership/src/slow_holder.rs
@@ -34,6 +34,9 @@
 /// They would serve better only in place of a machine that is slow for long.
 const MAX_SLOW_BESIDE_WEAKER_MS: u64 = 5_000;
 
+/// Time of consecutive windows with hardly any open starts after which the holder transfers the slice, in milliseconds.
+const MAX_THROTTLED_MS: u64 = 2_000;
+
 /// Time after a claim during which no window counts as slow, in milliseconds.
 ///
 /// The adoption explains slow answers then. Timeouts and the limit of open starts follow them all the same.
@@ -61,19 +64,50 @@
     };
     let cause = find_slowness_cause(world, now_ms);
     close_window(&mut world.holding.answer_times, &mut world.runs.start_window, is_judged, cause, now_ms);
-    let slow_since_ms = world.holding.answer_times.slow_since_ms;
-    let is_slow = slow_since_ms.is_some_and(|since_ms| now_ms >= since_ms + max_slow_ms(world));
-    let is_cut_off = !is_judged && cause == SlownessCause::Machine && world.hosts.are_all_silent(now_ms);
-    if (is_slow || is_cut_off) && can_release(world, now_ms) {
+    let Some(release_cause) = find_release_cause(world, cause, is_judged, now_ms) else { return };
+    if can_release(world, now_ms) {
         let log_record = LogRecord::new(EventId::HolderSlow)
             .with("quickest_answer_ms", world.holding.answer_times.min_latency_ms)
-            .with("cause", if is_cut_off { "no host answers" } else { "slow answers" });
+            .with("start_limit", world.runs.start_window.limit())
+            .with("cause", format!("{release_cause:?}"));
         world.log(log_record);
         world.holding.releasing_since_ms = Some(now_ms);
         world.holding.yield_until_ms = now_ms + CLAIM_DELAY_PERIOD_MS;
     }
 }
 
+/// Why this daemon should not hold the slice; written to the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReleaseCause {
+    /// Even the quickest answer is slow with the fewest open starts.
+    SlowAnswers,
+    /// Tasks wait since answers are quick enough only with hardly any open starts.
+    FewOpenStarts,
+    /// No host answers.
+    NoAnswers,
+}
+
+/// Returns why this daemon should release the slice after a window, if it should.
+fn find_release_cause(
+    world: &World,
+    cause: SlownessCause,
+    is_judged: bool,
+    now_ms: u64,
+) -> Option<ReleaseCause> {
+    let window = &world.holding.answer_times;
+    let has_lasted =
+        |since_ms: Option<u64>, for_ms: u64| since_ms.is_some_and(|at_ms| now_ms >= at_ms + for_ms);
+    if has_lasted(window.slow_since_ms, max_slow_ms(world, MAX_SLOW_MS)) {
+        Some(ReleaseCause::SlowAnswers)
+    } else if has_lasted(window.throttled_since_ms, max_slow_ms(world, MAX_THROTTLED_MS)) {
+        Some(ReleaseCause::FewOpenStarts)
+    } else if !is_judged && cause == SlownessCause::Machine && world.hosts.are_all_silent(now_ms) {
+        Some(ReleaseCause::NoAnswers)
+    } else {
+        None
+    }
+}
+
 /// Returns whether another daemon may take over, and the slice did not go round a short time ago.
 fn can_release(world: &World, now_ms: u64) -> bool {
     let tenure_ms = tenure_ms(world, now_ms);
@@ -88,15 +122,17 @@
     world.holding.claim_won_at_ms().map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
 }
 
-/// Returns for how long answers must be slow before this daemon releases the slice, in milliseconds.
-fn max_slow_ms(world: &World) -> u64 {
+/// Returns how long this daemon must be slow before it releases the slice, in milliseconds.
+///
+/// That is `max_slow_ms`, if another daemon has a comparable machine.
+fn max_slow_ms(world: &World, max_slow_ms: u64) -> u64 {
     let own = &world.local;
     let mut others =
         world.members.iter().filter(|member| member.incarnation.member != own.incarnation.member);
     if others.all(|other| own.limits.is_much_stronger_than(other.limits)) {
         MAX_SLOW_BESIDE_WEAKER_MS
     } else {
-        MAX_SLOW_MS
+        max_slow_ms
     }
 }
 
@@ -193,7 +229,7 @@
 /// Closes a window: adapts the number of open start orders, and notes since when windows have been slow.
 ///
 /// A window is slow only once fewer open starts can't help and the work is not the cause, since another daemon would do
-/// no better with the same work.
+/// no better with the same work. It is throttled if answers are quick enough only with hardly any open starts.
 fn close_window(
     window: &mut AnswerTimeWindow,
     start_window: &mut StartWindow,
@@ -205,6 +241,7 @@
         && window.min_latency_ms >= SLOW_ANSWER_MS
         && start_window.is_at_minimum()
         && cause == SlownessCause::Machine;
+    let throttled = start_window.is_throttled() && cause == SlownessCause::Machine;
     if is_judged && window.is_congested() {
         start_window.shrink();
     } else if is_judged {
@@ -212,6 +249,7 @@
     }
     let started_at_ms = window.window_end_ms.saturating_sub(WINDOW_MS);
     let slow_since_ms = slow.then(|| window.slow_since_ms.unwrap_or(started_at_ms));
+    let throttled_since_ms = throttled.then(|| window.throttled_since_ms.unwrap_or(started_at_ms));
     // A high latency would stay for as long as only long polls are answered.
     let min_latency_ms = match window.min_poll_delay_ms {
         Some(delay_ms) if window.answer_count == 0 => delay_ms,
@@ -221,6 +259,7 @@
         window_end_ms: now_ms + WINDOW_MS,
         min_latency_ms,
         slow_since_ms,
+        throttled_since_ms,
         ..AnswerTimeWindow::default()
     };
 }
--- a/crates/cassiahoist_standins/tests/systems/slow_holder.rs
+++ b/crates/cassiahoist_standins/tests/systems/slow_holder.rs
@@ -494,3 +494,19 @@
     }
     assert!(!holder.app.world().holding.answer_times.is_congested());
 }
+
+/// Even the quickest answer takes 70 ms as soon as more than the fewest starts are open, and many tasks wait.
+///
+/// The holder never seemed slow, and started a tenth of what a machine with its processor would.
+#[test]
+fn holder_that_bears_only_the_fewest_open_starts_releases_the_slice() {
+    let mut holder = settled_holder();
+    holder.add_job(1, vec![crate::support::step(400)]);
+    assert!(answer_orders_for(&mut holder, 5_000, 70));
+}
+
+/// Few tasks wait, so that the fewest open starts are enough.
+#[test]
+fn holder_with_few_tasks_keeps_the_slice_while_answers_take_a_while() {
+    assert!(!answer_orders_for(&mut settled_holder(), 5_000, 70));
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -57,6 +57,8 @@
     pub min_poll_delay_ms: Option<u64>,
     /// Begin of the consecutive windows in which even the lowest latency was too high, in monotonic milliseconds.
     pub slow_since_ms: Option<u64>,
+    /// Begin of the consecutive windows in which few starts could be open, in monotonic milliseconds.
+    pub throttled_since_ms: Option<u64>,
 }
 
 /// Multiple of the lowest latency that an order's timeout allows for.
--- a/crates/cassiahoist_world/src/start_window.rs
+++ b/crates/cassiahoist_world/src/start_window.rs
@@ -6,6 +6,9 @@
 /// Smallest limit. A holder that is too slow even with so few open starts is a slow one.
 const MIN_OPEN_STARTS: u32 = 8;
 
+/// Limit up to which a holder whose tasks wait is throttled.
+const MAX_THROTTLED_STARTS: u32 = 2 * MIN_OPEN_STARTS;
+
 /// Limit before the first measurement.
 const INITIAL_OPEN_STARTS: u32 = 128;
 
@@ -60,6 +63,17 @@
         self.limit <= MIN_OPEN_STARTS
     }
 
+    /// Returns whether at least half of the limit is in use.
+    fn is_in_use(self) -> bool {
+        self.open * 2 >= self.limit
+    }
+
+    /// Returns whether tasks are held back by a limit close to the smallest one.
+    #[must_use]
+    pub fn is_throttled(self) -> bool {
+        self.limit <= MAX_THROTTLED_STARTS && self.is_in_use()
+    }
+
     /// Halves the limit, since even the quickest answer was slow.
     pub fn shrink(&mut self) {
         self.limit = (self.limit / 2).max(MIN_OPEN_STARTS);
@@ -67,7 +81,7 @@
 
     /// Raises the limit by half, if at least half of it is in use or it is at its minimum.
     pub fn grow(&mut self) {
-        if self.open * 2 >= self.limit || self.is_at_minimum() {
+        if self.is_in_use() || self.is_at_minimum() {
             self.limit = (self.limit + self.limit / 2).min(MAX_OPEN_STARTS);
         }
     }
