Let jobs accepted since the last holder start at once

Cause: a new holder took every job of its first listing for one that an earlier holder may have started. Such jobs wait until each host of the roster has answered or its lease has ended, 3.4 s after the first polls, and 25 hosts that had left at 30 s did not answer. Jobs stored while nobody held the slice, or under the new claim before the listing, were among them. Ruled out: the claim (won 0.3 s after the daemons started), the records (0.34 s), the limit of open starts (288, one in use), the processor (quickest answer 15 to 21 ms). Change: a job's record names the smallest token under which it may start. Without a holder that is one more than the revision of the term record, and its creation is conditional on that revision. A new holder takes a job for its own if the token is greater than the term that its claim replaced, and there is no progress. A holder with a smaller token ignores such a job, also in its listing, where a late one took jobs of a later claim for inherited ones. Why no task can run twice: every earlier holder's token is at most the term that was replaced, so none of them starts the job. Evidence: `job_accepted_since_the_last_holder_waits_for_no_lease`, `job_stored_without_a_holder_names_the_last_term` and `listed_job_of_a_later_claim_is_ignored`; the first fails without the rule.

--- a/crates/cassiahoist_jobs/src/accept.rs
+++ b/crates/cassiahoist_jobs/src/accept.rs
@@ -49,21 +49,26 @@
 
 /// Creates a job's record on condition that none exists.
 ///
-/// The claim is a second condition: the record names the claim under which the job is accepted.
+/// The claim, or without one the term record, is a second condition: the record names the holders that may start the job.
 pub(crate) fn store_job(world: &mut World, number: CallNumber, now_ms: u64) {
     if world.store_connection.is_unresponsive(now_ms) {
         // This attempt is not sent, so it cannot store the job.
         return retry_or_refuse(world, number, now_ms);
     }
-    let claim = world.holding.claim.as_ref().map_or(0, |(_, revision)| *revision);
+    let claim = world.holding.claim.as_ref().map(|(_, revision)| *revision);
+    let term_revision = world.holding.term_revision;
     let Some(call) = world.calls.open.get_mut(&number) else { return };
     let CallStage::Storing { record, .. } = &mut call.stage else { return };
-    Arc::make_mut(record).claim = Fence(claim);
+    Arc::make_mut(record).claim = Fence(claim.unwrap_or(term_revision + 1));
     let key = StoreKey::Job(call.job);
     let transaction = Transaction::default()
         .with_expect(key.clone(), 0)
-        .with_expect(StoreKey::Claim(SLICE), claim)
+        .with_expect(StoreKey::Claim(SLICE), claim.unwrap_or_default())
         .with_put(key, StoreValue::Job(Arc::clone(record)));
+    let transaction = match claim {
+        Some(_) => transaction,
+        None => transaction.with_expect(StoreKey::Term(SLICE), term_revision),
+    };
     let timeout_ms = world.store_connection.call_timeout_ms().min(call.deadline_ms.saturating_sub(now_ms));
     world.call_store(StorePurpose::StoreJob(number), StoreOp::Commit(transaction), now_ms, timeout_ms);
 }
@@ -94,7 +99,7 @@
             if let Some(stored) = stored {
                 return finish_accept(world, number, stored, now_ms);
             }
-            // The condition on the claim failed: the holder has changed or is gone.
+            // The condition on the claim or the term failed: the holder has changed or is gone.
             apply_claim_conflict(world, items, now_ms);
             store_job(world, number, now_ms);
         }
--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -79,17 +79,27 @@
     }
 }
 
-/// Adds a job that an earlier holder may have started, with its recorded progress.
+/// Adds a job that was stored before the tables were loaded, with its recorded progress.
 fn restore_job(world: &mut World, record: &Arc<JobRecord>, now_ms: u64) {
-    if world.jobs.find(&record.id).is_some() || has_unreadable_progress(world, record.id) {
+    if !may_add_job(world, record) {
         return;
     }
     let progress = world.holding.loading.progress.as_mut().and_then(|by_job| by_job.remove(&record.id));
-    let inherited = InheritedState { progress, term: world.holding.term };
-    insert_job(world, record, Some(inherited), now_ms);
+    let is_new = progress.is_none() && world.holding.is_first_holder_of_job(record.claim);
+    let inherited = (!is_new).then_some(InheritedState { progress, term: world.holding.term });
+    insert_job(world, record, inherited, now_ms);
     apply_early_cancellation(world, record.id, now_ms);
 }
 
+/// Returns whether a job is for this holder to start and not in the tables yet.
+///
+/// A job accepted under a later claim is for the holder of that claim.
+fn may_add_job(world: &World, record: &JobRecord) -> bool {
+    world.holding.covers_job(record.claim)
+        && world.jobs.find(&record.id).is_none()
+        && !has_unreadable_progress(world, record.id)
+}
+
 /// Returns whether it is unknown which tasks of the job are done.
 fn has_unreadable_progress(world: &World, job: JobId) -> bool {
     world.holding.loading.unreadable_progress.contains(&job)
@@ -97,10 +107,7 @@
 
 /// Adds a job that was accepted under this holder's claim or an earlier one.
 pub(crate) fn add_new_job(world: &mut World, record: &Arc<JobRecord>, now_ms: u64) {
-    // A job accepted under a later claim is for the holder of that claim to start.
-    let claim_covers_job = world.holding.fence().is_some_and(|fence| record.claim <= fence);
-    if !claim_covers_job || world.jobs.find(&record.id).is_some() || has_unreadable_progress(world, record.id)
-    {
+    if !may_add_job(world, record) {
         return;
     }
     insert_job(world, record, None, now_ms);
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -159,6 +159,7 @@
         .with_expect(StoreKey::Term(SLICE), world.holding.term_revision)
         .with_leased_put(StoreKey::Claim(SLICE), StoreValue::Claim(claim), lease)
         .with_put(StoreKey::Term(SLICE), StoreValue::Term(TermRecord { term, holder, released: false }));
+    world.holding.replaced_term_revision = world.holding.term_revision;
     world.holding.claim_sent_at_ms = now_ms;
     world.holding.apply_event(HoldingEvent::ClaimSent);
     world.call_store(StorePurpose::ClaimSlice, StoreOp::Commit(transaction), now_ms, CLAIM_TIMEOUT_MS);
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -119,8 +119,13 @@
     step_down(world, StepDownCause::Succeeded { by: fence }, now_ms);
 }
 
-/// Applies the claim found in the items of a store conflict. Without one the slice is vacant.
+/// Applies the claim and the term found in the items of a store conflict. Without a claim the slice is vacant.
 pub fn apply_claim_conflict(world: &mut World, items: Vec<StoreItem>, now_ms: u64) {
+    let (terms, items): (Vec<_>, Vec<_>) =
+        items.into_iter().partition(|item| matches!(item.key, StoreKey::Term(_)));
+    for item in terms {
+        apply_item(world, item, now_ms);
+    }
     let claim = items.into_iter().find(|item| matches!(item.key, StoreKey::Claim(_)));
     if let Some(item) = claim {
         return apply_item(world, item, now_ms);
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -9,8 +9,8 @@
 use cassiahoist_world::event::Event;
 use cassiahoist_world::orders::{Order, RunEnding};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
-use cassiahoist_world::record::MemberRecord;
-use cassiahoist_world::store::StorePurpose;
+use cassiahoist_world::record::{MemberRecord, TermRecord};
+use cassiahoist_world::store::{StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue};
 
 use crate::support::{FENCE, TestDaemon, end, ended_lists, job_record, step, task_name};
 
@@ -189,3 +189,26 @@
         .receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(9_999)) });
     assert_eq!(holder.app.world().jobs.early_cancellations.len(), 1);
 }
+
+/// A daemon that has just started stores a job, and does not know yet which term was the last one.
+///
+/// Were the job stored under an earlier term, a holder of that term that has been replaced could start it.
+#[test]
+fn job_stored_without_a_holder_names_the_last_term() {
+    let mut daemon = TestDaemon::standby();
+    configure(&mut daemon);
+    submit(&mut daemon, 9, br#"{"steps":[{"count":1,"cpu":100}]}"#);
+    let stored = |daemon: &TestDaemon| {
+        let call = daemon.commits(|call| matches!(call.purpose, StorePurpose::StoreJob(_))).remove(0);
+        let StoreOp::Commit(transaction) = &call.op else { panic!("{call:?}") };
+        let StoreValue::Job(record) = &transaction.puts[0].value else { panic!("{call:?}") };
+        (transaction.expect.contains(&(StoreKey::Term(SliceId(0)), record.claim.0 - 1)), record.claim, call)
+    };
+    let (is_conditional, claim, call) = stored(&daemon);
+    assert_eq!((is_conditional, claim), (true, Fence(1)));
+    let term = TermRecord { term: 3, holder: "edge-1#1".parse().unwrap(), released: false };
+    let item = StoreItem { key: StoreKey::Term(SliceId(0)), value: StoreValue::Term(term), revision: 70 };
+    daemon.answer_store(call, Ok(StoreReply::Conflict { items: vec![item] }));
+    let (is_conditional, claim, _) = stored(&daemon);
+    assert_eq!((is_conditional, claim), (true, Fence(71)));
+}
--- a/crates/cassiahoist_standins/tests/systems/claims.rs
+++ b/crates/cassiahoist_standins/tests/systems/claims.rs
@@ -1,5 +1,7 @@
 //! Claims of a slice without a holder.
 
+use std::sync::Arc;
+
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::{StepDownCause, step_down};
 use cassiahoist_world::calls::HolderStatus;
@@ -395,3 +397,55 @@
     assert!(daemon.app.world().holding.loading.jobs_loaded);
     assert_eq!(daemon.app.world().jobs.len(), 0);
 }
+
+/// Creates a daemon that has just won the slice with the token 90, in place of a term of revision 70.
+///
+/// It loads one job, which was accepted as given and has no progress. Returns whether the job is in the tables, and
+/// counts as one that an earlier holder may have started.
+fn load_accepted_job(accepted: Fence) -> Option<bool> {
+    let mut daemon = TestDaemon::standby();
+    let now_ms = daemon.now_ms;
+    let world = daemon.app.world_mut();
+    world.holding.apply_event(HoldingEvent::ClaimWon { fence: Fence(90), at_ms: now_ms });
+    world.holding.claim_sent_at_ms = now_ms;
+    world.holding.replaced_term_revision = 70;
+    daemon.tick(1);
+    let now_ms = daemon.now_ms;
+    let mut record = job_record(1, vec![step(1)]);
+    Arc::make_mut(&mut record).claim = accepted;
+    let job = StoreItem { key: StoreKey::Job(record.id), value: StoreValue::Job(record), revision: 95 };
+    for (purpose, items) in
+        [(StorePurpose::LoadProgress, Vec::new()), (StorePurpose::FollowRange(KeySpace::Jobs), vec![job])]
+    {
+        daemon.receive_event(Event::StoreCompleted(Box::new(StoreCompletion {
+            purpose,
+            issued_at_ms: now_ms,
+            outcome: Ok(StoreReply::Items { items, revision: 95 }),
+        })));
+    }
+    let world = daemon.app.world();
+    assert!(world.holding.loading.jobs_loaded);
+    let key = world.jobs.find(&JobId(1))?;
+    world.jobs.get(key).map(|job| job.inherited)
+}
+
+/// After a loss of power callers come back before a daemon holds the slice, while hosts of the earlier holder are silent.
+///
+/// Their jobs waited until the leases of these hosts had ended, although no earlier holder can have started them.
+#[test]
+fn job_accepted_since_the_last_holder_waits_for_no_lease() {
+    assert_eq!(load_accepted_job(Fence(71)), Some(false), "accepted while nobody held the slice");
+    assert_eq!(load_accepted_job(Fence(90)), Some(false), "accepted before the jobs were listed");
+}
+
+#[test]
+fn job_accepted_under_an_earlier_holder_is_inherited() {
+    assert_eq!(load_accepted_job(Fence(70)), Some(true));
+    assert_eq!(load_accepted_job(Fence(0)), Some(true));
+}
+
+/// The listing came late, and another holder has claimed the slice meanwhile.
+#[test]
+fn listed_job_of_a_later_claim_is_ignored() {
+    assert_eq!(load_accepted_job(Fence(91)), None);
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -115,6 +115,8 @@
     pub term: u64,
     /// Store revision of the [`TermRecord`](crate::record::TermRecord); 0 if there is none.
     pub term_revision: u64,
+    /// Store revision of the term record that this daemon's latest claim replaces; 0 if there was none.
+    pub replaced_term_revision: u64,
     /// Whether the latest claim was removed by its holder, and did not end with its lease.
     pub was_released: bool,
     /// When the latest claim began as far as this daemon saw, in monotonic milliseconds.
@@ -182,6 +184,7 @@
             claim: None,
             term: 0,
             term_revision: 0,
+            replaced_term_revision: 0,
             was_released: false,
             claim_seen_at_ms: None,
             predecessor_tenure_ms: None,
@@ -218,6 +221,20 @@
         }
     }
 
+    /// Returns whether a holder under this daemon's claim may start a job, which was accepted as given.
+    #[must_use]
+    pub fn covers_job(&self, accepted: Fence) -> bool {
+        self.fence().is_some_and(|fence| accepted <= fence)
+    }
+
+    /// Returns whether no earlier holder may have started a job, which was accepted as given.
+    ///
+    /// It was accepted under this daemon's claim, or while nobody held the slice just before.
+    #[must_use]
+    pub fn is_first_holder_of_job(&self, accepted: Fence) -> bool {
+        self.covers_job(accepted) && accepted.0 > self.replaced_term_revision
+    }
+
     /// Returns when this daemon won its claim, in monotonic milliseconds; `None` without a claim.
     #[must_use]
     pub fn claim_won_at_ms(&self) -> Option<u64> {
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -23,10 +23,11 @@
     pub spec: JobSpec,
     /// When the job was accepted, in Unix milliseconds.
     pub accepted_unix_ms: u64,
-    /// Claim under which the job was accepted; 0 if nobody held the slice.
+    /// Smallest fencing token under which the job may be started.
     ///
-    /// The record's creation is conditional on this claim, so that a holder that has been replaced never
-    /// receives the job as new.
+    /// It is the claim under which the job was accepted. If nobody held the slice, it is one more than the revision of
+    /// the term record. The record's creation is conditional on either, so that a holder that has been replaced never
+    /// starts the job.
     pub claim: Fence,
 }
 
