--- a/crates/cassiahoist_daemon/tests/metrics.rs
+++ b/crates/cassiahoist_daemon/tests/metrics.rs
@@ -16,6 +16,7 @@
         domain: FailureDomain::new("obihiro").unwrap(),
         peer_address: "10.1.0.0:7720".into(),
         bounds: Bounds::default(),
+        platform_run_lease_ms: 6_000,
         limits: MachineLimits::default(),
         stop_state: StopState::Serving,
         unix_ms: 0,
