Bound the size of deliveries to peers

What callers would see: at a daemon on a slow link calls that it relays, states that it asks for and advice are lost together, and come late by a second or more.

Cause: all messages that waited for a peer went out as one delivery. The larger it was the longer it took; beyond a second it was sent once more, which filled the link further, and all of it was lost. Beyond 4 MiB the peer refused it.

Change: a delivery holds 32 KiB of messages at most, or one larger message. If one is lost, so is the rest of its batch, as before.

Evidence: `deliveries_stay_small_however_many_messages_wait` fails on the former code: 617,090 bytes in one delivery.

Why it works: a link of 2 Mbit/s carries 32 KiB in 0.13 s, so that the timeout tells a lost peer from a slow link.

--- a/crates/cassiahoist_traffic/src/peer_links.rs
+++ b/crates/cassiahoist_traffic/src/peer_links.rs
@@ -18,6 +18,11 @@
 /// Time for one delivery to be acknowledged.
 const DELIVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Most bytes of messages in one delivery.
+///
+/// A delivery that takes longer than its timeout is sent once more, which fills a slow link further.
+const MAX_DELIVERY_BYTES: usize = 32 * 1_024;
+
 /// Most messages queued for one peer.
 ///
 /// Later ones are dropped, since the store provides a fallback for each.
@@ -81,7 +86,7 @@
         Some(queue)
     }
 
-    /// Delivers messages in order, all that are queued in one request, until none came for the idle timeout.
+    /// Delivers messages in order, as many in one request as it may hold, until none came for the idle timeout.
     async fn deliver_messages(self, endpoint: Endpoint, mut messages: mpsc::Receiver<PeerMessage>) {
         let mut client = PeerClient::new(endpoint.connect_lazy());
         let mut batch = Vec::new();
@@ -100,18 +105,66 @@
                 batch.clear();
                 continue;
             };
-            let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
-            let request = DeliverRequest { number, ..delivery };
-            let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request.clone())).await;
-            if !matches!(delivered, Ok(Ok(_))) {
-                // The connection may be dead, so retry once on a new one. The peer recognizes the number if it has
-                // received the delivery, so that no message takes effect twice.
-                client = connect_client(&endpoint);
-                let _outcome = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
-            }
             batch.clear();
+            for messages in split_by_size(delivery.messages) {
+                let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
+                let part = DeliverRequest {
+                    from: delivery.from.clone(),
+                    address: delivery.address.clone(),
+                    messages,
+                    number,
+                };
+                if deliver(&mut client, &endpoint, part).await == DeliveryOutcome::Lost {
+                    // The others of the batch would wait for a peer that does not answer.
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Whether a peer acknowledged a delivery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DeliveryOutcome {
+    /// It did.
+    Acknowledged,
+    /// It did not, although the delivery was repeated.
+    Lost,
+}
+
+/// Makes a delivery, and repeats it once on a new connection.
+///
+/// The peer recognizes the number of a delivery that it has received, so that no message takes effect twice.
+async fn deliver(
+    client: &mut PeerClient<Channel>,
+    endpoint: &Endpoint,
+    request: DeliverRequest,
+) -> DeliveryOutcome {
+    let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request.clone())).await;
+    if matches!(delivered, Ok(Ok(_))) {
+        return DeliveryOutcome::Acknowledged;
+    }
+    // The connection may be dead.
+    *client = connect_client(endpoint);
+    let delivered = tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
+    if matches!(delivered, Ok(Ok(_))) { DeliveryOutcome::Acknowledged } else { DeliveryOutcome::Lost }
+}
+
+/// Splits messages, in order, into groups of at most [`MAX_DELIVERY_BYTES`]. A larger message is a group of its own.
+fn split_by_size(messages: Vec<Vec<u8>>) -> Vec<Vec<Vec<u8>>> {
+    let mut groups: Vec<Vec<Vec<u8>>> = Vec::new();
+    let mut last_group_bytes = 0;
+    for message in messages {
+        last_group_bytes += message.len();
+        match groups.last_mut() {
+            Some(group) if last_group_bytes <= MAX_DELIVERY_BYTES => group.push(message),
+            _ => {
+                last_group_bytes = message.len();
+                groups.push(vec![message]);
+            }
         }
     }
+    groups
 }
 
 fn connect_client(endpoint: &Endpoint) -> PeerClient<Channel> {
