Ask for advice on restarted hosts again

What callers would see: a step whose queue needs advice waits for hosts that it may use.

Cause: a rejection by the advice service was kept for the host's row for as long as the step waits. A host may come back under the same name as another kind, on which the service may decide otherwise; tickets were bound to the incarnation, rejections were not.

Change: a rejection holds for the incarnation that was asked about.

Evidence: `restarted_host_is_asked_about_again` fails on the former code.

Why it works: the new incarnation is selected for the next call like a host without an answer.

--- a/crates/cassiahoist_hosts/src/engage.rs
+++ b/crates/cassiahoist_hosts/src/engage.rs
@@ -134,7 +134,7 @@
         is_available(host)
             && demand.is_met_by(host)
             && spec.reserved_resources().fits_within(&host.free_resources())
-            && !step.advice.rejected_hosts.contains(key)
+            && !step.advice.is_rejected(*key, host.entry.started_unix_ms)
     });
     (fitting_hosts.take(ENOUGH_HOSTS).count() < ENOUGH_HOSTS).then_some(demand)
 }
--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -109,16 +109,16 @@
     let mut approved_count = 0_usize;
     for key in open.hosts {
         let Some(host) = world.hosts.get(key) else { continue };
+        let host_started_unix_ms = host.entry.started_unix_ms;
         if let Some(approved_host) =
             approved.iter().find(|approved_host| approved_host.host == host.entry.name)
         {
             approved_count += 1;
-            let host_started_unix_ms = host.entry.started_unix_ms;
             let text = Arc::clone(&approved_host.ticket);
             let ticket = Ticket { text, expires_at_ms, host_started_unix_ms };
             world.jobs.approve_host(open.step, key, ticket);
         } else {
-            world.jobs.reject_host(open.step, key);
+            world.jobs.reject_host(open.step, key, host_started_unix_ms);
         }
     }
     if approved_count == 0 {
--- a/crates/cassiahoist_placement/src/selectable.rs
+++ b/crates/cassiahoist_placement/src/selectable.rs
@@ -80,7 +80,7 @@
         let mut choices = Vec::new();
         for row in self.by_pool.get(&policy.pool).into_iter().flatten() {
             let fitting_tasks = row.count_fitting(world, &requirements);
-            if fitting_tasks == 0 || step.advice.rejected_hosts.contains(&row.key) {
+            if fitting_tasks == 0 || step.advice.is_rejected(row.key, row.started_unix_ms) {
                 continue;
             }
             match step.advice.approved_hosts.get(&row.key) {
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -252,6 +252,31 @@
     assert!(holder.app.world().advice.open_calls.values().all(|call| !call.abandoned));
 }
 
+/// A host that was rejected restarts, and its new incarnation may be of another kind. No step asked about it again.
+#[test]
+fn restarted_host_is_asked_about_again() {
+    let mut holder = TestDaemon::with_hosts(1);
+    holder.add_member(0);
+    holder.add_advised_job(1, 2_500);
+    holder.tick(10);
+    let call = *holder.app.world().advice.open_calls.keys().min().unwrap();
+    let answer = serde_json::json!({"call": call, "good": [], "ticket_ms": 2_500, "took_ms": 0});
+    holder.receive_event(Event::AdviceReceived(serde_json::from_value(answer).unwrap()));
+    let mut calls = 0;
+    for _ in 0..20 {
+        holder.tick(20);
+        calls += advice_calls(&holder);
+    }
+    assert_eq!(calls, 0, "the service's answer on a host does not change");
+    let host = holder.host(0);
+    holder.app.world_mut().hosts.get_mut(host).unwrap().entry.started_unix_ms += 60_000;
+    for _ in 0..20 {
+        holder.tick(20);
+        calls += advice_calls(&holder);
+    }
+    assert_eq!(calls, 1);
+}
+
 /// A holder reads an answer with advice long after the service gave it, as over a full link or between long ticks.
 ///
 /// It took the tickets for valid from then on, and hosts refused the starts.
--- a/crates/cassiahoist_world/src/advice.rs
+++ b/crates/cassiahoist_world/src/advice.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 use crate::keys::{HostKey, StepKey};
@@ -27,14 +27,22 @@
 pub struct StepAdvice {
     /// Hosts that the service approved, with the latest ticket each. A ticket may have expired.
     pub approved_hosts: FxHashMap<HostKey, Ticket>,
-    /// Hosts that the service rejected.
-    pub rejected_hosts: FxHashSet<HostKey>,
+    /// Hosts that the service rejected, with the start of the rejected incarnation in Unix milliseconds.
+    pub rejected_hosts: FxHashMap<HostKey, u64>,
     /// Number of the open call; `None` if none is open.
     pub open_call: Option<u64>,
     /// When to make the next call, in monotonic milliseconds.
     pub next_call_at_ms: u64,
 }
 
+impl StepAdvice {
+    /// Returns whether the service rejected the incarnation of a host that started at a Unix time.
+    #[must_use]
+    pub fn is_rejected(&self, host: HostKey, host_started_unix_ms: u64) -> bool {
+        self.rejected_hosts.get(&host) == Some(&host_started_unix_ms)
+    }
+}
+
 /// A call for advice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -217,11 +217,11 @@
         }
     }
 
-    /// Records that the advice service rejected a host for a step.
-    pub fn reject_host(&mut self, key: StepKey, host: HostKey) {
+    /// Records that the advice service rejected the incarnation of a host that started at a Unix time.
+    pub fn reject_host(&mut self, key: StepKey, host: HostKey, host_started_unix_ms: u64) {
         if let Some(step) = self.steps.get_mut(key) {
             step.advice.approved_hosts.remove(&host);
-            step.advice.rejected_hosts.insert(host);
+            step.advice.rejected_hosts.insert(host, host_started_unix_ms);
         }
     }
 
