Collect removals from the host roster

What callers would see: while many hosts leave or fail, a holder on a slow link starts fewer tasks.

Cause: the whole roster was written as soon as one host had left or lost its lease, and again as soon as that write was answered.

Change: a write that only removes hosts waits for a second after the last write. Hosts that lack in the roster are added as before, since they get no work until then.

Evidence: `removals_from_the_roster_are_collected` fails on the former code: 50 writes in a second.

Why it works: a host that stays in the roster for a second longer only makes a next holder wait for it, and no work.

--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -11,6 +11,11 @@
 /// Delay before the next write after a failed one, in milliseconds.
 const WRITE_RETRY_MS: u64 = 250;
 
+/// Shortest time between two writes that only remove hosts, in milliseconds.
+///
+/// Each write holds the whole roster. A host that stays in it a little longer delays only the start of the next holder.
+const REMOVAL_INTERVAL_MS: u64 = 1_000;
+
 /// Writes the host roster if it is stale or lacks hosts that accept work.
 ///
 /// A host gets its first start order only once it is in the roster, so that no later holder overlooks it.
@@ -25,9 +30,12 @@
     if !is_incomplete && !world.store_writes.roster_stale {
         return;
     }
-    if now_ms < world.store_writes.next_roster_write_at_ms {
-        return world.wake_by(world.store_writes.next_roster_write_at_ms);
+    let removal_at_ms = if is_incomplete { 0 } else { world.store_writes.next_roster_removal_at_ms };
+    let due_at_ms = world.store_writes.next_roster_write_at_ms.max(removal_at_ms);
+    if now_ms < due_at_ms {
+        return world.wake_by(due_at_ms);
     }
+    world.store_writes.next_roster_removal_at_ms = now_ms + REMOVAL_INTERVAL_MS;
     world.store_writes.roster_stale = false;
     let hosts = world
         .hosts
--- a/crates/cassiahoist_standins/tests/systems/recording.rs
+++ b/crates/cassiahoist_standins/tests/systems/recording.rs
@@ -273,3 +273,25 @@
         }
     }
 }
+
+/// Many hosts leave within a short time. The whole roster was written for each, on a link that tasks wait for.
+#[test]
+fn removals_from_the_roster_are_collected() {
+    let mut holder = TestDaemon::with_hosts(4);
+    holder.tick(2_000);
+    let mut writes = 0;
+    for _ in 0..50 {
+        holder.app.world_mut().store_writes.roster_stale = true;
+        holder.tick(20);
+        for call in holder.commits(|call| call.purpose == StorePurpose::WriteRoster) {
+            writes += 1;
+            holder.answer_store(call, Ok(StoreReply::Committed { revision: 60 + writes }));
+        }
+    }
+    assert!((1..=2).contains(&writes), "{writes} writes in a second");
+    // A host can get no work before the roster lists it, so that is not put off.
+    let host = holder.host(0);
+    holder.app.world_mut().hosts.get_mut(host).unwrap().in_roster = false;
+    holder.tick(20);
+    assert_eq!(holder.commits(|call| call.purpose == StorePurpose::WriteRoster).len(), 1);
+}
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -52,6 +52,8 @@
     pub roster_hosts_in_flight: Vec<(HostKey, u64)>,
     /// When the roster may be written next after a failure, in monotonic milliseconds.
     pub next_roster_write_at_ms: u64,
+    /// When the roster may be written next only to remove hosts, in monotonic milliseconds.
+    pub next_roster_removal_at_ms: u64,
     /// Store revision of the roster; 0 if none is stored.
     pub roster_revision: u64,
 }
