Name the file of the adoption after its concept

membership/load.rs held the adoption of the slice, while the files of that name in world and runs hold the load of a daemon.

--- a/crates/cassiahoist_membership/src/lib.rs
+++ b/crates/cassiahoist_membership/src/lib.rs
@@ -4,10 +4,10 @@
 //! store is the claim. Each daemon keeps one lease in the store. Its member entry and, at the holder, the claim are
 //! removed when the lease ends. The claim's store revision is the fencing token of every order to hosts.
 
+mod adoption;
 mod claim;
 mod follow;
 mod lease;
-mod load;
 mod members;
 mod slow_holder;
 mod step_down;
@@ -40,8 +40,8 @@
             .add_system(TickSet::Membership, members::apply_heartbeats)
             .add_system(TickSet::Membership, claim::apply_claim_answers)
             .add_system(TickSet::Membership, claim::claim_vacant_slice)
-            .add_system(TickSet::Membership, load::load_records)
-            .add_system(TickSet::Membership, load::finish_adoption)
+            .add_system(TickSet::Membership, adoption::load_records)
+            .add_system(TickSet::Membership, adoption::finish_adoption)
             .add_system(TickSet::Outgoing, follow::follow_ranges)
             .add_system(TickSet::Outgoing, follow::detect_stale_ranges)
             .add_system(TickSet::Outgoing, stop::retry_release)
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -5,6 +5,7 @@
 use cassiahoist_world::runs::{Run, RunKey, RunState, StopReason};
 
 use crate::health::record_failure;
+use crate::lifecycle::stop_run;
 use crate::poll::POLL_WAIT_MS;
 
 /// Shortest time without progress after which a run is stopped, in milliseconds.
@@ -73,15 +74,11 @@
     for key in stalled {
         let Some(run) = world.runs.rows.get(key) else { continue };
         let (host, task) = (run.host, run.task);
-        stop_stalled_run(world, key, now_ms);
+        stop_run(world, key, StopReason::Stalled, now_ms);
         record_failure(world, host, task, now_ms);
     }
 }
 
-fn stop_stalled_run(world: &mut World, key: RunKey, now_ms: u64) {
-    crate::lifecycle::stop_run(world, key, StopReason::Stalled, now_ms);
-}
-
 /// Returns whether a run should be progressing.
 ///
 /// Missing reports of its host, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
