Tell reads of a job and of its progress apart

Cause: a query reads the progress first and the job next, under one purpose. When the call is taken up again while the store seems unresponsive, two reads of the progress are open. The second answer without progress counted as the answer to the read of the job.

Change: the two reads have purposes of their own, and only the read of the job shows that there is none.

Evidence: repeated_read_of_missing_progress_does_not_deny_the_job fails before.

--- a/crates/cassiahoist_jobs/src/query.rs
+++ b/crates/cassiahoist_jobs/src/query.rs
@@ -101,14 +101,14 @@
         return;
     }
     let Some(call) = world.calls.open.get_mut(&number) else { return };
-    let key = if call.stage == CallStage::ReadingJob {
-        StoreKey::Job(call.job)
+    let (purpose, key) = if call.stage == CallStage::ReadingJob {
+        (StorePurpose::ReadJob(number), StoreKey::Job(call.job))
     } else {
         call.stage = CallStage::ReadingProgress;
-        StoreKey::Progress(call.job)
+        (StorePurpose::ReadProgress(number), StoreKey::Progress(call.job))
     };
     let timeout_ms = STORE_TIMEOUT_MS.min(call.deadline_ms.saturating_sub(now_ms));
-    world.call_store(StorePurpose::ReadJob(number), StoreOp::Get(key), now_ms, timeout_ms);
+    world.call_store(purpose, StoreOp::Get(key), now_ms, timeout_ms);
 }
 
 /// Replies to peers' state queries and applies the holder's replies to this daemon's own.
@@ -147,8 +147,11 @@
 
 /// Applies the store's answers to state queries.
 pub fn apply_read_answers(world: &mut World, now_ms: u64) {
-    for completion in world.inbox.take_store_results(|purpose| matches!(purpose, StorePurpose::ReadJob(_))) {
-        if let StorePurpose::ReadJob(number) = completion.purpose {
+    let completions = world.inbox.take_store_results(|purpose| {
+        matches!(purpose, StorePurpose::ReadJob(_) | StorePurpose::ReadProgress(_))
+    });
+    for completion in completions {
+        if let StorePurpose::ReadJob(number) | StorePurpose::ReadProgress(number) = completion.purpose {
             apply_read_answer(world, number, completion, now_ms);
         }
     }
@@ -166,9 +169,12 @@
             refuse_call(world, number, ErrorKind::StateAway, &reason, now_ms);
         }
         Ok(StoreReply::Item(Some(_))) => world.answer_call(number, CallAnswer::State(JobState::Queued)),
-        Ok(StoreReply::Item(None)) if call.stage == CallStage::ReadingProgress => {
-            call.stage = CallStage::ReadingJob;
-            query_store(world, number, now_ms);
+        // Several reads of one call may be open, and only that of the job shows that there is none.
+        Ok(StoreReply::Item(None)) if matches!(completion.purpose, StorePurpose::ReadProgress(_)) => {
+            if call.stage == CallStage::ReadingProgress {
+                call.stage = CallStage::ReadingJob;
+                query_store(world, number, now_ms);
+            }
         }
         Ok(StoreReply::Item(None)) => {
             refuse_call(world, number, ErrorKind::UnknownJob, "the store has no such job", now_ms);
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -10,7 +10,7 @@
 use cassiahoist_world::orders::{Order, RunEnding};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::record::MemberRecord;
-use cassiahoist_world::store::StorePurpose;
+use cassiahoist_world::store::{StoreCall, StoreKey, StoreOp, StorePurpose, StoreReply};
 
 use crate::support::{FENCE, TestDaemon, end, ended_lists, job_record, step, task_name};
 
@@ -189,3 +189,27 @@
         .receive_event(Event::PeerMessageReceived { from, message: PeerMessage::JobCancelled(JobId(9_999)) });
     assert_eq!(holder.app.world().jobs.early_cancellations.len(), 1);
 }
+
+/// Two reads of a job's progress are open, since the call was taken up again while the store seemed unresponsive.
+///
+/// The second answer without progress counted as the one to the read of the job, and the caller was told that an accepted job
+/// does not exist.
+#[test]
+fn repeated_read_of_missing_progress_does_not_deny_the_job() {
+    let mut holder = TestDaemon::with_hosts(0);
+    configure(&mut holder);
+    holder.receive_event(Event::CallReceived(CallRequest {
+        number: 9,
+        host_name: "desk.example".into(),
+        path: format!("/checks/{}", JobId(9)),
+        action: CallAction::Query,
+        body_bytes: 0,
+        deadline_ms: holder.now_ms + 3_000,
+    }));
+    let reads_progress = |call: &&StoreCall| matches!(call.op, StoreOp::Get(StoreKey::Progress(_)));
+    let read = holder.store_calls().find(reads_progress).cloned().unwrap();
+    holder.answer_store(read.clone(), Ok(StoreReply::Item(None)));
+    assert!(holder.store_calls().any(|call| matches!(call.op, StoreOp::Get(StoreKey::Job(_)))));
+    holder.answer_store(read, Ok(StoreReply::Item(None)));
+    assert_eq!(answer_to(&holder, 9), None);
+}
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -229,8 +229,10 @@
     WriteRoster,
     /// Stores a job for the call with this number.
     StoreJob(u64),
-    /// Reads a job or its progress for the call with this number.
+    /// Reads a job for the call with this number.
     ReadJob(u64),
+    /// Reads the progress of a job for the call with this number.
+    ReadProgress(u64),
     /// Finds and cancels a job for the call with this number.
     CancelJob(u64),
     /// Writes progress records as the commit with this number.
