Let peers send start orders while they fill the holder's link

Cause: one holder sends all start orders, and each repeats the argument of its job, up to 4 kB, for every task. They took 157 of the 239 kB a second that left the holder from 15 s on; its link was full.

Change: while start orders take up half of their share of the link, the holder asks up to three peers with links as good to send them. It gives them the orders of a step that exceed its budget, in one message with the argument once and a row for each task. The peer sends the orders unchanged and returns the answers of the hosts in batches. All decisions stay with the holder; gangs stay direct.

Why it is safe: the deadline of a batch is on the clock of the peer, of which the holder knows a lower bound from its messages, so that nothing leaves late after a pause of either. A peer sends only under the claim that it knows as in force, nothing after a host refused the fence, nothing for another incarnation of itself, and each order once. What it could not send comes back as not sent. What is lost is settled by a stop like any start without an answer. Neither says anything about the host.

The invariant SingleHolder took every order under a fence from a second daemon for a violation. It now takes a start order that the holder gave to that daemon, for that host, task and run, as the holder's, once each; all others violate it as before (order_that_the_holder_did_not_give_away_...).

--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -101,6 +101,7 @@
     611 AdviceFailed Info "A call for advice failed or timed out.";
     612 FillerPaceChanged Info "The processor share of fillers on a host changed.";
     613 ProgressConflict Warning "A progress record's revision differs from the one that this holder knows.";
+    620 StartRelayDropped Info "A peer left start orders, or the request to relay them, without a reply.";
     700 ConfigInForce Info "A new configuration is in force.";
     701 ConfigRejected Error "A configuration is unreadable; the previous one stays in force.";
     702 DeclarationsStored Info "An operator's declarations were stored, or the attempt failed.";
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -24,13 +24,14 @@
     host_connections_limit: Arc<AtomicU64>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 23] = [
+const COUNTERS: [(&str, &str, ReadValue); 24] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
     ("cassiahoist_jobs_ended", "Jobs that reached a final state at this daemon", |w| w.counters.jobs_ended),
     ("cassiahoist_starts", "Start orders issued to hosts", |w| w.counters.starts),
     ("cassiahoist_starts_refused", "Start orders that hosts refused", |w| w.counters.starts_refused),
+    ("cassiahoist_starts_relayed", "Start orders given to a peer to send", |w| w.counters.starts_relayed),
     ("cassiahoist_starts_unsent", "Start orders that were never sent", |w| w.counters.starts_unsent),
     ("cassiahoist_orders_unsent", "Orders that this daemon could not send", |w| w.counters.orders_unsent),
     ("cassiahoist_runs_done", "Runs that completed", |w| w.counters.runs_done),
--- a/crates/cassiahoist_placement/src/gang.rs
+++ b/crates/cassiahoist_placement/src/gang.rs
@@ -8,6 +8,7 @@
 
 use crate::place::{SearchOutcome, remaining_queue_tasks, start_task, startable_hosts};
 use crate::requirements::{StepPolicy, StepRequirements};
+use crate::start_route::StartRoute;
 
 /// Starts a gang if all of its tasks fit on hosts.
 ///
@@ -52,7 +53,7 @@
     let log_record = LogRecord::new(EventId::GangPlaced).with("step", world.jobs.steps[key].name);
     world.log(log_record.with("run", run_number).with("members", tasks.len()));
     for (task, host) in tasks.into_iter().zip(hosts) {
-        start_task(world, task, host, run_number, now_ms);
+        start_task(world, task, host, run_number, &mut StartRoute::Direct, now_ms);
     }
     SearchOutcome::HasRoom
 }
--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -7,6 +7,7 @@
 mod requirements;
 mod room_bounds;
 mod selectable;
+mod start_route;
 
 pub use choose::{Candidate, choose_candidate};
 
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -16,9 +16,7 @@
 use crate::gang::place_gang;
 use crate::requirements::{StepPolicy, StepRequirements};
 use crate::room_bounds::{LeastNeed, RoomBounds};
-
-/// Timeout of an order to start a run, in milliseconds.
-const START_TIMEOUT_MS: u64 = 300;
+use crate::start_route::StartRoute;
 
 /// Time reserved to deliver a start order before its ticket expires, in milliseconds.
 const TICKET_MARGIN_MS: u64 = 60;
@@ -175,10 +173,20 @@
     let Some(pending_tasks) = world.jobs.steps.get(key).map(|step| step.pending_tasks.clone()) else {
         return;
     };
+    let mut unvisited_count = pending_tasks.len();
+    let mut route = StartRoute::choose(world, key, unvisited_count.min(remaining_tasks as usize), now_ms);
     for task_key in pending_tasks {
-        if room.candidates.is_empty() || remaining_tasks == 0 || world.runs.start_budget.is_exhausted() {
-            return;
+        if room.candidates.is_empty() || remaining_tasks == 0 {
+            break;
+        }
+        if route.is_full(world) {
+            std::mem::take(&mut route).finish(world, now_ms);
+            if world.runs.start_budget.is_exhausted() {
+                break;
+            }
+            route = StartRoute::choose(world, key, unvisited_count.min(remaining_tasks as usize), now_ms);
         }
+        unvisited_count -= 1;
         let Some(task) = world.jobs.tasks.get(task_key) else { continue };
         if now_ms < task.not_before_ms {
             let not_before_ms = task.not_before_ms;
@@ -188,9 +196,10 @@
         let Some(position) = room.choose(world, task, packing) else { continue };
         let run_number = task.last_run_number + 1;
         let host = room.take(position);
-        start_task(world, task_key, host, run_number, now_ms);
+        start_task(world, task_key, host, run_number, &mut route, now_ms);
         remaining_tasks -= 1;
     }
+    route.finish(world, now_ms);
 }
 
 /// Hosts on which a step may start tasks in this round, with their free places.
@@ -347,6 +356,7 @@
     task_key: TaskKey,
     host_key: HostKey,
     run_number: u64,
+    route: &mut StartRoute,
     now_ms: u64,
 ) {
     let Some(host) = world.hosts.get(host_key) else { return };
@@ -375,10 +385,12 @@
     world.runs.start_window.count_issued();
     world.counters.start_ms.record(now_ms.saturating_sub(ready_since_ms));
     let log_record = LogRecord::new(EventId::TaskStarted).with("task", name).with("run", run_number);
-    world.log(log_record.with("host", host_name).with("waited_ms", now_ms.saturating_sub(ready_since_ms)));
+    let log_record =
+        log_record.with("host", host_name).with("waited_ms", now_ms.saturating_sub(ready_since_ms));
+    world.log(match route.relay() {
+        Some(relay) => log_record.with("relay", relay),
+        None => log_record,
+    });
     let order = Order::Start { run, task: name, run_number, argument, checkpoint, ticket, lease_until_ms };
-    world.runs.start_budget.spend(order.size_bytes());
-    let queueing_ms = world.runs.start_budget.queueing_time_ms(world.local.limits.link_mbps);
-    let timeout_ms = START_TIMEOUT_MS + queueing_ms + world.holding.answer_times.latency_allowance_ms();
-    world.send_order(host_key, order, timeout_ms, now_ms);
+    route.add(world, host_key, order, now_ms);
 }
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -4,6 +4,7 @@
 //! resources reserved until the host lists its end or the host's lease expires.
 
 mod adopt;
+mod handled_starts;
 mod health;
 mod host_lists;
 mod lease_expiry;
@@ -14,6 +15,7 @@
 mod pace;
 mod poll;
 mod stalls;
+mod start_relays;
 mod stop_orders;
 
 pub use lease_expiry::{may_start_inherited_jobs, reset_restarted_host};
@@ -29,13 +31,17 @@
 impl Plugin for RunsPlugin {
     fn build(&self, app: &mut App) {
         app.add_system(TickSet::Receive, load::measure_tick)
+            .add_system(TickSet::Receive, handled_starts::take_handled_answers)
             .add_system(TickSet::HostAnswers, order_answers::apply_order_answers)
             .add_system(TickSet::HostAnswers, lease_expiry::expire_host_leases)
             .add_system(TickSet::HostAnswers, adopt::stop_partial_gangs)
+            .add_system(TickSet::HostAnswers, start_relays::choose_start_relays)
+            .add_system(TickSet::Runs, handled_starts::relay_starts)
             .add_system(TickSet::Runs, stalls::stop_stalled_runs)
             .add_system(TickSet::Runs, stop_orders::send_stop_orders)
             .add_system(TickSet::Runs, pace::send_filler_pace)
             .add_system(TickSet::Runs, poll::poll_hosts)
+            .add_system(TickSet::Outgoing, handled_starts::return_handled_answers)
             .add_system(TickSet::Outgoing, load::log_holder_load);
     }
 }
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -15,6 +15,7 @@
 use crate::outcome::break_gang;
 use crate::pace::apply_pace_answer;
 use crate::poll::schedule_poll;
+use crate::start_relays::{take_relayed_answers, take_unreturned_starts};
 
 /// Timeout of a poll outside the regular schedule, in milliseconds.
 const IMMEDIATE_POLL_TIMEOUT_MS: u64 = 350;
@@ -31,6 +32,24 @@
 /// Delay before an order is issued again that this daemon could not send, in milliseconds.
 const UNSENT_RETRY_MS: u64 = 100;
 
+/// Daemon that sent an order to its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderSender {
+    /// This daemon.
+    Holder,
+    /// A peer that relays start orders.
+    Relay,
+}
+
+/// Whether further answers are applied after one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextAnswer {
+    /// They are.
+    Apply,
+    /// They are not, since this daemon no longer holds the slice.
+    Drop,
+}
+
 /// Applies the answers of hosts to orders.
 pub fn apply_order_answers(world: &mut World, now_ms: u64) {
     for completion in std::mem::take(&mut world.inbox.order_results) {
@@ -38,26 +57,48 @@
         if completion.order.fence < world.holding.tables_fence || !world.holding.loading.jobs_loaded {
             continue;
         }
-        if let Order::Start { .. } = completion.order.order {
-            world.runs.start_window.count_answered();
-        }
-        if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
-            apply_refusal_of_other_host(world, completion, now_ms);
-            continue;
+        if apply_completion(world, completion, OrderSender::Holder, now_ms) == NextAnswer::Drop {
+            return;
         }
-        detect_host_restart(world, &completion, now_ms);
-        update_reachability(world, &completion, now_ms);
-        // A host also refuses an order that carries the fence of an earlier claim of this daemon.
-        let order_outdated = world.holding.fence().is_some_and(|fence| completion.order.fence < fence);
-        if completion.outcome == OrderOutcome::Refused(RefusalReason::Fence) && !order_outdated {
-            let superseding_fence = Fence(completion.order.fence.0 + 1);
-            step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
+    }
+    let mut relayed = take_relayed_answers(world, now_ms);
+    relayed.append(&mut take_unreturned_starts(world, now_ms));
+    for completion in relayed {
+        if apply_completion(world, completion, OrderSender::Relay, now_ms) == NextAnswer::Drop {
             return;
         }
-        apply_answer(world, completion, now_ms);
     }
 }
 
+fn apply_completion(
+    world: &mut World,
+    completion: OrderCompletion,
+    sender: OrderSender,
+    now_ms: u64,
+) -> NextAnswer {
+    if let Order::Start { .. } = completion.order.order {
+        world.runs.start_window.count_answered();
+    }
+    if completion.outcome == OrderOutcome::Refused(RefusalReason::OtherLife) {
+        apply_refusal_of_other_host(world, completion, now_ms);
+        return NextAnswer::Apply;
+    }
+    detect_host_restart(world, &completion, now_ms);
+    match sender {
+        OrderSender::Holder => update_reachability(world, &completion, now_ms),
+        OrderSender::Relay => record_relayed_answer(world, &completion),
+    }
+    // A host also refuses an order that carries the fence of an earlier claim of this daemon.
+    let order_outdated = world.holding.fence().is_some_and(|fence| completion.order.fence < fence);
+    if completion.outcome == OrderOutcome::Refused(RefusalReason::Fence) && !order_outdated {
+        let superseding_fence = Fence(completion.order.fence.0 + 1);
+        step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
+        return NextAnswer::Drop;
+    }
+    apply_answer(world, completion, now_ms);
+    NextAnswer::Apply
+}
+
 /// Removes a host whose address now belongs to the one that refused the order.
 ///
 /// If the host has moved to another address since the order was issued, only the order is void.
@@ -169,6 +210,20 @@
     }
 }
 
+/// Records that a host answered a relay, or that a relay did not send an order.
+///
+/// Silence of the host towards its relay says nothing about the path from this daemon, nor does the time of the answer.
+fn record_relayed_answer(world: &mut World, completion: &OrderCompletion) {
+    if completion.outcome.is_local_failure() {
+        world.counters.orders_unsent += 1;
+    }
+    if completion.host_clock_ms.is_some()
+        && let Some(host) = world.hosts.get_mut(completion.order.host)
+    {
+        host.last_answer_at_ms = host.last_answer_at_ms.max(completion.issued_at_ms);
+    }
+}
+
 fn apply_start_answer(world: &mut World, key: RunKey, completion: &OrderCompletion, now_ms: u64) {
     let (outcome, host_clock_ms) = (&completion.outcome, completion.host_clock_ms);
     let Some(run) = world.runs.rows.get_mut(key) else { return };
--- a/crates/cassiahoist_standins/src/invariants.rs
+++ b/crates/cassiahoist_standins/src/invariants.rs
@@ -49,7 +49,9 @@
     ///
     /// No daemon incarnation returns to an older version.
     ConfigInForce,
-    /// Only one daemon at a time gives orders to a host.
+    /// Only one daemon at a time decides on orders to a host.
+    ///
+    /// Another one sends only start orders that this one gave it, each once.
     SingleHolder,
     /// A daemon takes a host for unresponsive only if an order to it was not answered.
     HostReachability,
--- a/crates/cassiahoist_standins/src/invariants/jobs.rs
+++ b/crates/cassiahoist_standins/src/invariants/jobs.rs
@@ -118,6 +118,7 @@
             Observation::ConfigWritten { .. }
             | Observation::HostRegistered { .. }
             | Observation::OrderAccepted { .. }
+            | Observation::StartRelayed { .. }
             | Observation::OrderUnanswered { .. }
             | Observation::HostUnresponsive { .. }
             | Observation::QueueProbed { .. } => {}
--- a/crates/cassiahoist_standins/src/platform.rs
+++ b/crates/cassiahoist_standins/src/platform.rs
@@ -3,7 +3,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::orders::HostOrder;
+use cassiahoist_world::orders::{HostOrder, Order};
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde_json::json;
 
@@ -194,6 +194,10 @@
                 daemon,
                 daemon_started_unix_ms,
                 fence: order.fence.0,
+                start: match order.order {
+                    Order::Start { task, run_number, .. } => Some((task, run_number)),
+                    Order::Stop { .. } | Order::Poll { .. } | Order::SetPace { .. } => None,
+                },
             };
             self.trace.record(now_ms, observation);
         }
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -11,6 +11,7 @@
 mod crowded;
 mod daemon;
 mod faults;
+mod full_link;
 mod link;
 pub mod machine;
 pub mod processor;
@@ -20,13 +21,14 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::effect::{Effect, LogRecord};
 use cassiahoist_world::event::Event;
-use cassiahoist_world::peer::PeerSender;
+use cassiahoist_world::peer::{PeerMessage, PeerSender};
+use cassiahoist_world::start_relay::StartBatch;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
 
 pub use callers::{Burst, Callers};
-pub use daemon::Daemon;
+pub use daemon::{Daemon, daemon_name};
 pub use faults::{Fault, StoreHealth};
 pub use machine::Machine;
 
@@ -73,6 +75,8 @@
     pub start_spread_ms: u64,
     /// Times at which callers submit many jobs.
     pub bursts: Vec<Burst>,
+    /// Least length of the argument of a job, in bytes.
+    pub argument_bytes: usize,
 }
 
 impl Default for Scenario {
@@ -88,6 +92,7 @@
             machines: Vec::new(),
             start_spread_ms: 0,
             bursts: Vec::new(),
+            argument_bytes: 0,
         }
     }
 }
@@ -249,7 +254,12 @@
             }
             Effect::SendPeerMessage { address, message } => {
                 let from = self.sender(daemon, daemon_started_unix_ms);
-                self.send_peer(&address, Event::PeerMessageReceived { from, message });
+                if let PeerMessage::StartBatch(batch) = &message {
+                    self.record_relayed_starts(daemon, daemon_started_unix_ms, batch);
+                }
+                if self.now_ms >= self.daemons[daemon].cut_from_peers_until_ms {
+                    self.send_peer(&address, Event::PeerMessageReceived { from, message });
+                }
             }
             Effect::WriteLog(log_record) => self.record_log(daemon, log_record),
             // No operator declares anything in the simulation.
@@ -261,6 +271,22 @@
         }
     }
 
+    /// Records the start orders that a holder gives to another daemon.
+    fn record_relayed_starts(&mut self, daemon: usize, daemon_started_unix_ms: u64, batch: &StartBatch) {
+        for start in &batch.starts {
+            let observation = Observation::StartRelayed {
+                host: start.host_name.clone(),
+                daemon,
+                daemon_started_unix_ms,
+                relay: batch.relay.member.clone(),
+                fence: batch.fence.0,
+                task: TaskName { step: batch.step, index: start.task_index },
+                run: start.run_number,
+            };
+            self.platform.trace.record(self.now_ms, observation);
+        }
+    }
+
     fn record_log(&mut self, daemon: usize, log_record: LogRecord) {
         if log_record.event == EventId::HostUnresponsive
             && let Some((_, name)) = log_record.fields.iter().find(|(name, _)| *name == "host")
@@ -285,7 +311,9 @@
             .strip_prefix("10.1.0.")
             .and_then(|rest| rest.split(':').next())
             .and_then(|text| text.parse::<usize>().ok());
-        if let Some(daemon) = number.filter(|number| *number < self.daemons.len()) {
+        if let Some(daemon) = number.filter(|number| *number < self.daemons.len())
+            && self.now_ms >= self.daemons[daemon].cut_from_peers_until_ms
+        {
             let daemon_started_unix_ms = self.daemons[daemon].started_unix_ms;
             self.deliver(daemon, daemon_started_unix_ms, event, 0);
         }
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -174,7 +174,7 @@
     }
 
     fn draw_job(&mut self) {
-        let job = draw_job(&mut self.rng, self.scenario.workload);
+        let job = draw_job(&mut self.rng, self.scenario.workload, self.scenario.argument_bytes);
         let cancelled = job.runs_until_cancelled() || self.rng.random_bool(0.08);
         let cancel_at_ms = cancelled.then(|| {
             self.now_ms + self.rng.random_range(300..if job.runs_until_cancelled() { 15_000 } else { 3_000 })
--- a/crates/cassiahoist_standins/src/sim/daemon.rs
+++ b/crates/cassiahoist_standins/src/sim/daemon.rs
@@ -39,6 +39,8 @@
     pub restart_at_ms: Option<u64>,
     /// Time until which it can't reach the store, in milliseconds.
     pub store_unreachable_until_ms: u64,
+    /// Time until which messages from and to its peers are lost, in milliseconds.
+    pub cut_from_peers_until_ms: u64,
     /// Link on which its orders leave.
     pub link: Link,
     /// Connections within its descriptors; `None` if these have no limit.
@@ -58,6 +60,12 @@
     outbox: Vec<Effect>,
 }
 
+/// Returns the member name of a daemon.
+#[must_use]
+pub fn daemon_name(daemon: usize) -> String {
+    format!("edge-{daemon}")
+}
+
 /// Returns the address at which a daemon listens for peers.
 pub(super) fn peer_address(daemon: usize) -> String {
     format!("10.1.0.{daemon}:7720")
@@ -67,12 +75,13 @@
     pub(super) fn new(number: usize, machine: Machine) -> Option<Self> {
         Some(Self {
             app: None,
-            name: MemberName::new(&format!("edge-{number}")).ok()?,
+            name: MemberName::new(&daemon_name(number)).ok()?,
             machine,
             started_unix_ms: 0,
             paused_until_ms: 0,
             restart_at_ms: None,
             store_unreachable_until_ms: 0,
+            cut_from_peers_until_ms: 0,
             link: Link::default(),
             connections: None,
             tick_count: 0,
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -43,6 +43,10 @@
     KillAllDaemons(u64),
     /// Pauses the holder's process for a time.
     PauseHolder(u64),
+    /// Pauses a daemon's process for a time.
+    PauseDaemon(usize, u64),
+    /// Cuts a daemon off from its peers for a time.
+    CutDaemonFromPeers(usize, u64),
     /// Cuts the holder off from the store for a time.
     CutHolderFromStore(u64),
     /// Cuts a daemon off from the store for a time.
@@ -99,6 +103,8 @@
             | Fault::KillDaemon(_, for_ms)
             | Fault::KillAllDaemons(for_ms)
             | Fault::PauseHolder(for_ms)
+            | Fault::PauseDaemon(_, for_ms)
+            | Fault::CutDaemonFromPeers(_, for_ms)
             | Fault::CutHolderFromStore(for_ms)
             | Fault::SlowHolderLink(for_ms, _)
             | Fault::CutDaemonFromStore(_, for_ms)
@@ -174,6 +180,14 @@
                     self.daemons[holder].paused_until_ms = now_ms + for_ms;
                 }
             }
+            Fault::PauseDaemon(daemon, for_ms) => {
+                let daemon = daemon % self.daemons.len();
+                self.daemons[daemon].paused_until_ms = now_ms + for_ms;
+            }
+            Fault::CutDaemonFromPeers(daemon, for_ms) => {
+                let daemon = daemon % self.daemons.len();
+                self.daemons[daemon].cut_from_peers_until_ms = now_ms + for_ms;
+            }
             Fault::CutHolderFromStore(for_ms) => {
                 if let Some(holder) = self.holder() {
                     self.daemons[holder].store_unreachable_until_ms = now_ms + for_ms;
@@ -269,6 +283,20 @@
     scenario.faults.push((rng.random_range(5_000..12_000), Fault::DrainHost(rng.random_range(0..64))));
 }
 
+/// Draws faults of daemons that may relay start orders for the holder.
+pub(super) fn draw_relay_faults(scenario: &mut Scenario, rng: &mut SmallRng) {
+    for _ in 0..rng.random_range(1..=4) {
+        let (daemon, for_ms) = (rng.random_range(0..64), rng.random_range(200..5_000));
+        let fault = match rng.random_range(0..4) {
+            0 => Fault::KillDaemon(daemon, for_ms),
+            1 => Fault::PauseDaemon(daemon, for_ms),
+            2 => Fault::CutDaemonFromPeers(daemon, for_ms),
+            _ => Fault::CutDaemonFromStore(daemon, for_ms),
+        };
+        scenario.faults.push((rng.random_range(5_000..15_000), fault));
+    }
+}
+
 fn draw_fault(rng: &mut SmallRng) -> Fault {
     let for_ms = rng.random_range(200..8_000);
     let host = rng.random_range(0..64);
--- a/crates/cassiahoist_standins/src/trace.rs
+++ b/crates/cassiahoist_standins/src/trace.rs
@@ -94,6 +94,25 @@
         daemon_started_unix_ms: u64,
         /// Fencing token of the order.
         fence: u64,
+        /// Task and number of the run, for a start order.
+        start: Option<(TaskName, u64)>,
+    },
+    /// A holder gave a start order to another daemon to send.
+    StartRelayed {
+        /// Host that the order is for.
+        host: HostName,
+        /// Number of the holder.
+        daemon: usize,
+        /// Start of the holder's incarnation, in milliseconds since the epoch.
+        daemon_started_unix_ms: u64,
+        /// Name of the daemon that sends the order.
+        relay: MemberName,
+        /// Fencing token of the order.
+        fence: u64,
+        /// Name of the task.
+        task: TaskName,
+        /// Number of the run.
+        run: u64,
     },
     /// An order reached its host without an answer in time, or did not reach it.
     OrderUnanswered {
--- a/crates/cassiahoist_standins/src/workload.rs
+++ b/crates/cassiahoist_standins/src/workload.rs
@@ -198,8 +198,8 @@
     })
 }
 
-/// Draws a random job.
-pub fn draw_job(rng: &mut SmallRng, workload: Workload) -> Job {
+/// Draws a random job, whose argument has at least `argument_bytes` bytes.
+pub fn draw_job(rng: &mut SmallRng, workload: Workload, argument_bytes: usize) -> Job {
     let id = JobId(rng.random());
     let queue = match rng.random_range(0..10) {
         0..=5 => 0,
@@ -216,7 +216,9 @@
         }
     }
     let step_values: Vec<Value> = steps.iter().map(step_json).collect();
-    let body = json!({ "spec": format!("job {id}"), "steps": step_values }).to_string().into_bytes();
+    let mut argument = format!("job {id}");
+    argument.extend(std::iter::repeat_n(' ', argument_bytes.saturating_sub(argument.len())));
+    let body = json!({ "spec": argument, "steps": step_values }).to_string().into_bytes();
     Job { id, queue, steps, body }
 }
 
--- a/crates/cassiahoist_standins/tests/invariants.rs
+++ b/crates/cassiahoist_standins/tests/invariants.rs
@@ -63,7 +63,32 @@
 
 /// Observes that a host accepts an order under a fencing token.
 fn ordered(host_number: u64, daemon: usize, fence: u64) -> Observation {
-    Observation::OrderAccepted { host: host(host_number), daemon, daemon_started_unix_ms: 1, fence }
+    Observation::OrderAccepted {
+        host: host(host_number),
+        daemon,
+        daemon_started_unix_ms: 1,
+        fence,
+        start: None,
+    }
+}
+
+/// Observes that a host accepts a start order under a fencing token.
+fn start_ordered(host_number: u64, daemon: usize, fence: u64, run: u64) -> Observation {
+    let start = Some((task(0).parse().unwrap(), run));
+    Observation::OrderAccepted { host: host(host_number), daemon, daemon_started_unix_ms: 1, fence, start }
+}
+
+/// Observes that daemon 0 gives a start order to daemon 1.
+fn start_relayed(host_number: u64, fence: u64, run: u64) -> Observation {
+    Observation::StartRelayed {
+        host: host(host_number),
+        daemon: 0,
+        daemon_started_unix_ms: 1,
+        relay: MemberName::new("edge-1").unwrap(),
+        fence,
+        task: task(0).parse().unwrap(),
+        run,
+    }
 }
 
 /// Observes the answer to a call for the queue of one configuration version.
@@ -249,6 +274,22 @@
     assert_eq!(violated(step(1), vec![(10, ordered(0, 0, 5)), (20, ordered(0, 1, 6))]), []);
 }
 
+/// A holder gives a start order to another daemon, which may send it once, to that host and under that token.
+#[test]
+fn order_that_the_holder_did_not_give_away_violates_single_holder() {
+    let observations =
+        |order: Observation| vec![(10, ordered(0, 0, 5)), (20, start_relayed(1, 5, 3)), (30, order)];
+    assert_eq!(violated(step(1), observations(start_ordered(1, 1, 5, 3))), []);
+    for order in
+        [start_ordered(1, 2, 5, 3), start_ordered(1, 1, 5, 4), start_ordered(0, 1, 5, 3), ordered(1, 1, 5)]
+    {
+        assert_eq!(violated(step(1), observations(order)), [Invariant::SingleHolder]);
+    }
+    let mut twice = observations(start_ordered(1, 1, 5, 3));
+    twice.push((40, start_ordered(1, 1, 5, 3)));
+    assert_eq!(violated(step(1), twice), [Invariant::SingleHolder]);
+}
+
 /// A daemon orders again less than 3,000 ms after its last order.
 ///
 /// A second daemon gives an order in between.
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -3,6 +3,7 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_standins::host::HostHealth;
 use cassiahoist_standins::sim::{Fault, Machine, Scenario, Simulation, StoreHealth};
+use cassiahoist_standins::trace::Observation;
 use cassiahoist_standins::workload::Workload;
 
 /// Simulates a day of the plain workload with faults at times in milliseconds.
@@ -411,3 +412,31 @@
         assert_eq!(claims, 3, "seed {seed}");
     }
 }
+
+/// Counts the start orders that holders gave to other daemons.
+fn count_relayed_starts(sim: &Simulation) -> usize {
+    let observations = sim.platform.trace.observations.iter();
+    observations.filter(|(_, observation)| matches!(observation, Observation::StartRelayed { .. })).count()
+}
+
+/// Start orders fill the holder's link, and daemons that relay them are killed, paused, and cut off.
+#[test]
+fn relayed_starts_violate_no_invariant() {
+    let mut relayed_count = 0;
+    for seed in 1..=12 {
+        let scenario = Scenario::full_link(seed);
+        let faults = scenario.faults.clone();
+        let mut sim = Simulation::new(seed, scenario);
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}, {faults:?}: {}", violations[0]);
+        relayed_count += count_relayed_starts(&sim);
+    }
+    assert!(relayed_count > 1_000, "only {relayed_count} relayed starts");
+}
+
+/// On links with room the holder sends all start orders itself.
+#[test]
+fn nothing_is_relayed_while_links_have_room() {
+    let sim = run_scenario(1, Vec::new());
+    assert_eq!(count_relayed_starts(&sim), 0);
+}
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -34,6 +34,8 @@
     pub jobs_ended: u64,
     /// Start orders issued, including those that could not be sent.
     pub starts: u64,
+    /// Start orders that were given to a peer to send, of those that were issued.
+    pub starts_relayed: u64,
     /// Start orders that a host refused.
     pub starts_refused: u64,
     /// Start orders that were never sent.
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -21,6 +21,7 @@
 //! - The holder **polls** hosts: it asks what they run and which runs have ended. A poll also extends a host's
 //!   **run lease**, at whose end the host ends its runs.
 //! - A daemon that the store does not answer **relays** its callers' calls through a peer.
+//! - While start orders fill the holder's link, peers send them to the hosts for it. They are its **start relays**.
 //! - **Advice** is a service of the platform that names the hosts which may run a step and gives a **ticket**
 //!   for each.
 //!
@@ -57,6 +58,8 @@
 pub mod schedule;
 pub mod spec;
 pub mod start_budget;
+pub mod start_relay;
+mod start_relay_rows;
 pub mod start_window;
 pub mod store;
 pub mod store_connection;
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use crate::keys::{HostKey, RunKey};
 use crate::unsent::UnsentCause;
@@ -63,6 +64,12 @@
 const ORDER_OVERHEAD_BYTES: usize = 400;
 
 impl Order {
+    /// Returns about how many bytes a start order takes on the link, without checkpoint and ticket.
+    #[must_use]
+    pub fn start_size_bytes(argument: &str) -> u64 {
+        (argument.len() + ORDER_OVERHEAD_BYTES) as u64
+    }
+
     /// Returns about how many bytes the order takes on the link.
     #[must_use]
     pub fn size_bytes(&self) -> u64 {
@@ -155,6 +162,7 @@
 
 /// Why a host refused an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RefusalReason {
     /// The host has seen a greater fencing token.
     Fence,
--- a/crates/cassiahoist_world/src/peer.rs
+++ b/crates/cassiahoist_world/src/peer.rs
@@ -9,6 +9,7 @@
 use crate::advice::{AdviceAnswer, AdviceCall};
 use crate::calls::{CallAnswer, CallNumber, RelayAction};
 use crate::record::{JobRecord, JobState};
+use crate::start_relay::{RelayedAnswers, StartBatch};
 
 /// State of a job as the holder knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,6 +82,15 @@
         /// Answer to the call.
         answer: CallAnswer,
     },
+    /// Asks a peer whether it relays start orders. The reply is a [`PeerMessage::RelayedAnswers`] without answers.
+    StartRelayRequest {
+        /// Fencing token of the holder.
+        fence: Fence,
+    },
+    /// Start orders that the receiver sends to hosts for the holder.
+    StartBatch(StartBatch),
+    /// Answers to start orders that the sender relayed.
+    RelayedAnswers(RelayedAnswers),
     /// Broadcasts the holder's state to every daemon, about once a second.
     Heartbeat {
         /// Fencing token of the holder.
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -7,6 +7,7 @@
 pub use crate::keys::RunKey;
 use crate::keys::{HostKey, TaskKey};
 use crate::start_budget::StartBudget;
+use crate::start_relay::StartRelayTable;
 use crate::start_window::StartWindow;
 
 /// State of a run.
@@ -99,6 +100,8 @@
     pub start_window: StartWindow,
     /// Bytes of start orders that the holder's link carries.
     pub start_budget: StartBudget,
+    /// Peers that send start orders while these fill the holder's link.
+    pub start_relays: StartRelayTable,
     /// Runs that were ordered to stop and may need a further stop order.
     pub stopping: FxHashSet<RunKey>,
     /// When to look for stalled runs next, in monotonic milliseconds.
@@ -123,6 +126,7 @@
         self.stopping.clear();
         self.start_window = StartWindow::default();
         self.start_budget = StartBudget::default();
+        self.start_relays.clear();
     }
 
     /// Adds the duration of a completed run, in milliseconds, to its queue's mean.
--- a/crates/cassiahoist_world/src/start_budget.rs
+++ b/crates/cassiahoist_world/src/start_budget.rs
@@ -86,6 +86,12 @@
         self.available_bytes < 0
     }
 
+    /// Returns whether orders of this size may be issued now without exceeding the budget.
+    #[must_use]
+    pub fn covers(self, order_bytes: u64) -> bool {
+        self.available_bytes >= order_bytes.min(i64::MAX as u64) as i64
+    }
+
     /// Returns whether no order may be issued now.
     #[must_use]
     pub fn is_exhausted(self) -> bool {
--- a/crates/cassiahoist_world/src/unsent.rs
+++ b/crates/cassiahoist_world/src/unsent.rs
@@ -17,6 +17,8 @@
     ConnectTimeout,
     /// The connection closed before the request was written to it.
     ConnectionClosed,
+    /// The peer that was to send it could not do so.
+    Relay,
 }
 
 impl UnsentCause {
@@ -24,7 +26,11 @@
     #[must_use]
     pub fn is_local(self) -> bool {
         match self {
-            Self::NoFreeConnection | Self::LocalResources | Self::Expired | Self::Unencodable => true,
+            Self::NoFreeConnection
+            | Self::LocalResources
+            | Self::Expired
+            | Self::Unencodable
+            | Self::Relay => true,
             Self::ConnectFailed | Self::ConnectTimeout | Self::ConnectionClosed => false,
         }
     }
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -19,6 +19,7 @@
 use crate::orders::{HostOrder, Order};
 use crate::peer::PeerMessage;
 use crate::runs::RunTable;
+use crate::start_relay::HandledStartTable;
 use crate::store::{StoreCall, StoreOp, StorePurpose};
 use crate::store_connection::StoreConnection;
 use crate::store_writes::StoreWriteTable;
@@ -44,6 +45,8 @@
     pub jobs: JobTable,
     /// Runs of tasks on hosts; filled only at the holder.
     pub runs: RunTable,
+    /// Start orders that this daemon sends for the holder.
+    pub handled_starts: HandledStartTable,
     /// Open calls for advice; filled only at the holder.
     pub advice: AdviceTable,
     /// Progress of the holder's writes to the store.
@@ -78,6 +81,7 @@
             hosts: HostTable::default(),
             jobs: JobTable::default(),
             runs: RunTable::default(),
+            handled_starts: HandledStartTable::default(),
             advice: AdviceTable::default(),
             store_writes: StoreWriteTable::default(),
             calls: CallTable::default(),
@@ -119,16 +123,24 @@
     ///
     /// Does nothing if this daemon has no claim or the host has no row.
     pub fn send_order(&mut self, host: HostKey, order: Order, timeout_ms: u64, now_ms: u64) {
-        let (Some(fence), Some(row)) = (self.holding.fence(), self.hosts.get(host)) else { return };
-        let order = HostOrder {
+        let Some(order) = self.address_order(host, order, timeout_ms) else { return };
+        self.emit(Effect::SendOrder { order: Box::new(order), issued_at_ms: now_ms });
+    }
+
+    /// Returns an order to a host under this daemon's fencing token.
+    ///
+    /// `None` if this daemon has no claim or the host has no row.
+    #[must_use]
+    pub fn address_order(&self, host: HostKey, order: Order, timeout_ms: u64) -> Option<HostOrder> {
+        let (fence, row) = (self.holding.fence()?, self.hosts.get(host)?);
+        Some(HostOrder {
             host,
             host_name: row.entry.name.clone(),
             address: row.entry.address.clone(),
             fence,
             order,
             timeout_ms,
-        };
-        self.emit(Effect::SendOrder { order: Box::new(order), issued_at_ms: now_ms });
+        })
     }
 
     /// Returns the mean run time of a task's queue, in milliseconds.
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -1,8 +1,8 @@
 //! Runs seeded simulations with faults and checks them against the scheduler's invariants.
 //!
 //! `cargo run --release --example prove -- --seeds 500`; `--seed N` repeats one seed and prints its log. Each seed is
-//! played with all workloads, and one in twenty with the crowded scenario, which takes longer; `--crowded-seeds N` sets
-//! their number.
+//! played with all workloads, one in five with full links, and one in twenty with the crowded scenario, which takes longer;
+//! `--full-link-seeds N` and `--crowded-seeds N` set their numbers.
 
 use std::process::ExitCode;
 
@@ -15,6 +15,9 @@
 /// Number of seeds for each seed of the crowded scenario.
 const SEEDS_PER_CROWDED: u64 = 20;
 
+/// Number of seeds for each seed of the scenario with full links.
+const SEEDS_PER_FULL_LINK: u64 = 5;
+
 /// Kind of simulated day.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Day {
@@ -22,6 +25,8 @@
     Seeded(Workload),
     /// Many hosts, daemons on unlike machines and a backlog after a loss of power.
     Crowded,
+    /// Start orders that fill the holder's link, and faults of the daemons that relay them.
+    FullLink,
 }
 
 impl Day {
@@ -29,6 +34,7 @@
         match self {
             Self::Seeded(workload) => Scenario::from_seed(seed, workload),
             Self::Crowded => Scenario::crowded(seed),
+            Self::FullLink => Scenario::full_link(seed),
         }
     }
 }
@@ -37,21 +43,24 @@
 struct Args {
     seeds: u64,
     crowded_seeds: Option<u64>,
+    full_link_seeds: Option<u64>,
     from: u64,
     seed: Option<u64>,
     varied: bool,
     copies: bool,
     crowded: bool,
+    full_link: bool,
 }
 
 impl Args {
     /// Returns the kind of day that `--seed` plays.
     fn day(&self) -> Day {
-        match (self.crowded, self.varied, self.copies) {
-            (true, ..) => Day::Crowded,
-            (false, true, _) => Day::Seeded(Workload::Varied),
-            (false, false, true) => Day::Seeded(Workload::Copies),
-            (false, false, false) => Day::Seeded(Workload::Plain),
+        match (self.full_link, self.crowded, self.varied, self.copies) {
+            (true, ..) => Day::FullLink,
+            (false, true, ..) => Day::Crowded,
+            (false, false, true, _) => Day::Seeded(Workload::Varied),
+            (false, false, false, true) => Day::Seeded(Workload::Copies),
+            (false, false, false, false) => Day::Seeded(Workload::Plain),
         }
     }
 
@@ -61,7 +70,9 @@
         let crowded_seeds = self.crowded_seeds.unwrap_or(self.seeds / SEEDS_PER_CROWDED);
         let seeded = seeds.flat_map(|seed| Workload::ALL.map(|workload| (seed, Day::Seeded(workload))));
         let crowded = (self.from..self.from + crowded_seeds).map(|seed| (seed, Day::Crowded));
-        seeded.chain(crowded).collect()
+        let full_link_seeds = self.full_link_seeds.unwrap_or(self.seeds / SEEDS_PER_FULL_LINK);
+        let full_link = (self.from..self.from + full_link_seeds).map(|seed| (seed, Day::FullLink));
+        seeded.chain(full_link).chain(crowded).collect()
     }
 }
 
@@ -71,6 +82,10 @@
         .help("Number of seeds with the crowded scenario; one in twenty seeds by default")
         .argument("N")
         .optional();
+    let full_link_seeds = long("full-link-seeds")
+        .help("Number of seeds with full links; one in five seeds by default")
+        .argument("N")
+        .optional();
     let from = long("from").help("First seed").argument("N").fallback(1);
     let seed = long("seed").help("Runs one seed and prints its log").argument("N").optional();
     let varied = long("varied")
@@ -82,7 +97,10 @@
     let crowded = long("crowded")
         .help("With --seed: plays many hosts, daemons on unlike machines and a backlog after a loss of power")
         .switch();
-    construct!(Args { seeds, crowded_seeds, from, seed, varied, copies, crowded })
+    let full_link = long("full-link")
+        .help("With --seed: plays start orders that fill the holder's link, and faults of the daemons that relay them")
+        .switch();
+    construct!(Args { seeds, crowded_seeds, full_link_seeds, from, seed, varied, copies, crowded, full_link })
         .to_options()
         .descr("Runs seeded simulations with faults")
 }
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -197,7 +197,7 @@
     let mut job_tasks = Vec::new();
     let mut is_daemon_killed = false;
     while start.elapsed() < traffic {
-        let job = draw_job(&mut rng, Workload::Plain);
+        let job = draw_job(&mut rng, Workload::Plain, 0);
         platform.with_platform(|platform, _| platform.ground_truth.jobs.insert(job.id, job.clone()));
         let daemon = rng.random_range(0..DAEMONS);
         job_tasks.push(tokio::spawn(caller.clone().submit_and_follow(
