--- a/crates/cassiahoist_core/tests/core.rs
+++ b/crates/cassiahoist_core/tests/core.rs
@@ -16,6 +16,22 @@
     assert_eq!(rows, EventId::ALL.len(), "docs/EVENTS.md lists events that do not exist");
 }
 
+/// With a minimum level in the settings, the log has both lines of a pair or none.
+#[test]
+fn paired_events_have_the_same_severity() {
+    let pairs = [
+        (EventId::StoreUnreachable, EventId::StoreReachable),
+        (EventId::RangeStale, EventId::RangeFresh),
+        (EventId::RangeCallFailed, EventId::RangeFresh),
+        (EventId::HostUnresponsive, EventId::HostResponsive),
+        (EventId::HostMissing, EventId::HostReturned),
+        (EventId::HolderSilent, EventId::HolderHeard),
+    ];
+    for (lost, regained) in pairs {
+        assert_eq!(lost.severity(), regained.severity(), "{} and {}", lost.name(), regained.name());
+    }
+}
+
 #[test]
 fn event_numbers_increase() {
     let numbers: Vec<u16> = EventId::ALL.iter().map(|event| event.number()).collect();
@@ -74,3 +90,15 @@
     }
     assert_eq!(max_host_connections(0), 0);
 }
+
+/// Connections of callers and hosts took descriptors from each other and from the store.
+#[test]
+fn shares_of_the_descriptors_fit_within_the_limit() {
+    use cassiahoist_core::descriptors::{MIN_MAX_DESCRIPTORS, max_caller_connections, max_host_connections};
+    for max_descriptors in [MIN_MAX_DESCRIPTORS, 1_024, 4_100, 8_200] {
+        let (callers, hosts) =
+            (max_caller_connections(max_descriptors), max_host_connections(max_descriptors));
+        assert!(callers >= 16 && hosts > callers, "{max_descriptors}: {callers} and {hosts}");
+        assert!(callers + hosts < max_descriptors - 300, "{max_descriptors}: {callers} and {hosts}");
+    }
+}
--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -5,13 +5,14 @@
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 
-use cassiahoist_core::descriptors::max_host_connections;
+use cassiahoist_core::descriptors::{max_caller_connections, max_host_connections};
 use cassiahoist_core::prelude::*;
 use cassiahoist_platform::settings::read_platform_settings;
 use cassiahoist_platform::{READY_PATH, SitePlatform, advice, callers, hosts, store};
 use cassiahoist_settings::{LogLevel, Settings, SettingsError, read_settings};
 use cassiahoist_telemetry::{LogWriter, Metrics};
 use cassiahoist_traffic::advice_client::AdviceClient;
+use cassiahoist_traffic::caller_connections::CallerConnections;
 use cassiahoist_traffic::caller_server::CallerServer;
 use cassiahoist_traffic::clock::MonotonicClock;
 use cassiahoist_traffic::control_link::{ControlInput, ControlLink};
@@ -21,6 +22,7 @@
 use cassiahoist_traffic::peer_links::PeerLinks;
 use cassiahoist_traffic::peer_server::PeerEndpoint;
 use cassiahoist_traffic::store_client::StoreClient;
+use cassiahoist_traffic::traffic_meter::TrafficMeter;
 use cassiahoist_world::peer::PeerSender;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
@@ -139,18 +141,28 @@
     caller_stop: watch::Receiver<bool>,
 ) -> Result<(Dispatcher<SitePlatform>, TableMetrics), HoistError> {
     let control = ControlLink::new(sender);
+    let meter = TrafficMeter::new().with_descriptors_limit(settings.daemon.max_descriptors);
     let peers = PeerLinks::new(PeerSender {
         incarnation: incarnation.clone(),
         address: settings.listen.peers.to_string(),
-    });
+    })
+    .with_meter(meter.clone());
     let metrics = Metrics::new().map_err(HoistError::Unreachable)?;
     let table_metrics = TableMetrics::new(&metrics);
-    let caller_server = CallerServer { protocol: callers::CallerCodec, clock, control: control.clone() };
+    let caller_server = CallerServer {
+        protocol: callers::CallerCodec,
+        clock,
+        control: control.clone(),
+        meter: meter.clone(),
+        connections: CallerConnections::new(max_caller_connections(settings.daemon.max_descriptors)),
+        log: log.clone(),
+    };
     let operator_server = OperatorServer { control: control.clone(), metrics, ready_path: READY_PATH };
     drop(runtime.spawn(caller_server.serve(bind(runtime, settings.listen.callers)?, caller_stop)));
     drop(runtime.spawn(operator_server.clone().serve(bind(runtime, settings.listen.readiness)?)));
     drop(runtime.spawn(operator_server.serve(bind(runtime, settings.listen.operators)?)));
-    drop(runtime.spawn(PeerEndpoint::new(control.clone()).serve(bind(runtime, settings.listen.peers)?)));
+    let peer_endpoint = PeerEndpoint::new(control.clone()).with_meter(meter.clone());
+    drop(runtime.spawn(peer_endpoint.serve(bind(runtime, settings.listen.peers)?)));
     drop(runtime.spawn(stop_on_signals(control.clone(), log.clone())));
     let advice_address = settings.platform.advice.map(|address| address.to_string());
     let dispatcher = Dispatcher {
@@ -159,13 +171,17 @@
             settings.platform.store.to_string(),
             clock,
             control.clone(),
-        ),
+        )
+        .with_meter(meter.clone()),
         hosts: HostClient::new(hosts::HostCodec, clock, control.clone())
+            .with_meter(meter.clone())
             .with_max_open_connections(max_host_connections(settings.daemon.max_descriptors)),
-        advice: AdviceClient::new(advice::AdviceCodec, advice_address, peers.clone(), control.clone()),
+        advice: AdviceClient::new(advice::AdviceCodec, advice_address, peers.clone(), control.clone())
+            .with_meter(meter.clone()),
         peers,
         control,
         log: log.clone(),
+        meter,
         runtime: runtime.handle().clone(),
     };
     Ok((dispatcher, table_metrics))
--- a/crates/cassiahoist_jobs/src/relay.rs
+++ b/crates/cassiahoist_jobs/src/relay.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use cassiahoist_core::error::JobOutcome;
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::calls::{
     CallAnswer, CallNumber, CallOrigin, CallStage, OpenCall, RELAYED_CALL_BASE, RelayAction,
@@ -11,7 +12,7 @@
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
 
-use crate::calls::{ANSWER_MARGIN_MS, refuse_call};
+use crate::calls::{ANSWER_MARGIN_MS, MAX_OPEN_CALLS, RETRY_AFTER_MS, refuse_call};
 use crate::{accept, cancel, query};
 
 /// Duration of a store failure from which on calls are relayed, in milliseconds.
@@ -23,12 +24,15 @@
 /// Maximum number of times that one call is relayed.
 const MAX_RELAYS_PER_CALL: u32 = 2;
 
+/// Number of open calls from which calls of peers are refused. The rest is left to callers of this daemon.
+const MAX_CALLS_WITH_RELAYED: usize = MAX_OPEN_CALLS / 2;
+
 /// Time reserved for the peer's reply to arrive, in milliseconds.
 const REPLY_TRANSIT_MS: u64 = 60;
 
 fn relay_action(call: &OpenCall) -> RelayAction {
     match &call.stage {
-        CallStage::Storing { record, .. } => RelayAction::Store(Arc::clone(record)),
+        CallStage::Storing { record } => RelayAction::Store(Arc::clone(record)),
         CallStage::QueryingHolder { .. } | CallStage::ReadingProgress | CallStage::ReadingJob => {
             RelayAction::Query(call.job)
         }
@@ -70,14 +74,12 @@
 
 /// Schedules a retry of a relayed call whose peer has not replied.
 ///
-/// What the peer did is unknown, so a job may have been stored.
+/// What the peer did is unknown, so it may have stored the job or the cancellation.
 pub(crate) fn time_out_relay(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(call) = world.calls.open.get_mut(&number) else { return };
+    call.may_be_stored |= call.is_storing();
     call.relay_deadline_ms = None;
     call.retry_at_ms = Some(now_ms);
-    if let CallStage::Storing { may_be_stored, .. } = &mut call.stage {
-        *may_be_stored = true;
-    }
 }
 
 /// Serves peers' relayed calls and applies the replies to this daemon's own.
@@ -87,6 +89,12 @@
     };
     for (sender, message) in world.inbox.take_peer_messages(is_relay_message) {
         match message {
+            PeerMessage::RelayRequest { call, .. } if world.calls.open.len() >= MAX_CALLS_WITH_RELAYED => {
+                let (kind, retry_after_ms) = (ErrorKind::Overloaded, Some(RETRY_AFTER_MS));
+                let answer = CallAnswer::Error { kind, retry_after_ms };
+                let message = PeerMessage::RelayReply { call, answer };
+                world.emit(Effect::SendPeerMessage { address: sender.address, message });
+            }
             PeerMessage::RelayRequest { call, action, timeout_ms } => {
                 let origin = CallOrigin::Peer { address: sender.address, call };
                 serve_relayed_call(world, origin, action, now_ms + timeout_ms + ANSWER_MARGIN_MS, now_ms);
@@ -107,7 +115,7 @@
     world.calls.relayed_call_count += 1;
     let number = RELAYED_CALL_BASE + world.calls.relayed_call_count;
     let (job, stage) = match action {
-        RelayAction::Store(record) => (record.id, CallStage::Storing { record, may_be_stored: false }),
+        RelayAction::Store(record) => (record.id, CallStage::Storing { record }),
         RelayAction::Query(job) => (job, CallStage::QueryingHolder { deadline_ms: now_ms }),
         RelayAction::Cancel(job) => (job, CallStage::CheckingJobExists),
     };
@@ -134,10 +142,7 @@
         CallAnswer::Error { kind: ErrorKind::UnknownJob, .. } => world.answer_call(number, answer),
         CallAnswer::Error { kind, .. } => {
             call.retry_at_ms = Some(now_ms);
-            if let CallStage::Storing { may_be_stored, .. } = &mut call.stage {
-                // A peer that refuses with `StoreAway` has not stored the job.
-                *may_be_stored |= kind != ErrorKind::StoreAway;
-            }
+            call.may_be_stored |= kind.answer().outcome == JobOutcome::Unknown;
         }
         final_answer => world.answer_call(number, final_answer),
     }
--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -9,10 +9,10 @@
 /// Time to live of the lease without renewal, in milliseconds.
 ///
 /// It bounds the time to detect a dead holder. A greater `min_lease_ms` of the bounds takes its place.
-const LEASE_TTL_MS: u64 = 1_500;
+pub(crate) const LEASE_TTL_MS: u64 = 1_500;
 
 /// Interval between renewals at the holder, in milliseconds. Two may fail before the lease ends.
-const HOLDER_RENEWAL_INTERVAL_MS: u64 = 400;
+pub(crate) const HOLDER_RENEWAL_INTERVAL_MS: u64 = 400;
 
 /// Interval between renewals at other daemons, in milliseconds.
 ///
@@ -53,7 +53,11 @@
 fn drop_lease(world: &mut World, now_ms: u64) {
     forget_lease(world, now_ms);
     world.members.registered = false;
-    world.log(LogRecord::new(EventId::LeaseLost));
+    let connection = &world.store_connection;
+    let log_record = LogRecord::new(EventId::LeaseLost)
+        .with("renewed_ms_ago", now_ms.saturating_sub(connection.lease_renewed_at_ms))
+        .with("store_answered_ms_ago", now_ms.saturating_sub(connection.last_answer_at_ms));
+    world.log(log_record);
     step_down(world, StepDownCause::Lapsed, now_ms);
 }
 
--- a/crates/cassiahoist_membership/src/load.rs
+++ b/crates/cassiahoist_membership/src/load.rs
@@ -94,7 +94,16 @@
         };
         let (roster, revision) = match item {
             Some(StoreItem { value: StoreValue::HostRoster(roster), revision, .. }) => (roster, revision),
-            _ => (HostRoster::default(), 0),
+            Some(StoreItem { key, value, revision }) => {
+                world.holding.loading.is_roster_unreadable = true;
+                let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{key:?}"));
+                world.log(match value {
+                    StoreValue::Unreadable { reason } => log_record.with("reason", reason),
+                    _ => log_record.with("reason", "it is no roster"),
+                });
+                (HostRoster::default(), revision)
+            }
+            None => (HostRoster::default(), 0),
         };
         world.store_writes.roster_revision = revision;
         world.holding.loading.roster = Some(roster);
@@ -162,5 +171,11 @@
     }
     let took_ms = now_ms - world.holding.claim_won_at_ms().unwrap_or(now_ms);
     let log_record = LogRecord::new(EventId::SliceAdopted).with("jobs", world.jobs.len());
-    world.log(log_record.with("hosts", world.hosts.len()).with("took_ms", took_ms));
+    let log_record = log_record
+        .with("hosts", world.hosts.len())
+        .with("engaged_hosts", world.hosts.iter_engaged().count())
+        .with("took_ms", took_ms)
+        .with("hosts_range_age_ms", world.store_connection.range_age_ms(KeySpace::Hosts, now_ms))
+        .with("jobs_range_age_ms", world.store_connection.range_age_ms(KeySpace::Jobs, now_ms));
+    world.log(log_record);
 }
--- a/crates/cassiahoist_membership/src/members.rs
+++ b/crates/cassiahoist_membership/src/members.rs
@@ -96,6 +96,8 @@
     if revision < known_revision || fence < world.holding.greatest_fence {
         return;
     }
+    // Once the cell was listed, either a claim or a vacancy is known.
+    let is_first_listing = world.holding.claim.is_none() && world.holding.vacant_since_ms.is_none();
     world.holding.greatest_fence = fence;
     world.holding.vacant_since_ms = None;
     if is_own {
@@ -109,9 +111,11 @@
         return;
     }
     if revision != known_revision {
-        world.holding.claim_seen_at_ms = now_ms;
+        world.holding.claim_seen_at_ms = (!is_first_listing).then_some(now_ms);
         let log_record = LogRecord::new(EventId::HolderChanged).with("holder", &claim.holder);
-        world.log(log_record.with("fence", fence).with("term", claim.term));
+        let range_gap_ms = world.store_connection.range_gap_ms(KeySpace::Cell);
+        let log_record = log_record.with("fence", fence).with("term", claim.term);
+        world.log(log_record.with("range_gap_ms", range_gap_ms));
     }
     world.holding.claim = Some((claim, revision));
     step_down(world, StepDownCause::Succeeded { by: fence }, now_ms);
--- a/crates/cassiahoist_placement/src/start_route.rs
+++ b/crates/cassiahoist_placement/src/start_route.rs
@@ -44,6 +44,7 @@
 /// Start orders of a step for one relay.
 #[derive(Debug)]
 pub(crate) struct RelayedOrders {
+    claim: Fence,
     relay: Incarnation,
     address: String,
     /// The relay's clock at this tick, at most, in milliseconds.
@@ -66,12 +67,21 @@
         if world.runs.start_budget.covers(direct_bytes) || direct_bytes < batch_bytes * MIN_SAVING_FACTOR {
             return Self::Direct;
         }
+        let Some(claim) = world.holding.fence() else { return Self::Direct };
         let Some((relay, relay_clock_ms)) = world.runs.start_relays.find_ready(now_ms) else {
             return Self::Direct;
         };
         let (relay, address) = (relay.incarnation.clone(), relay.address.clone());
         let argument = Arc::from(argument);
-        Self::Relayed(RelayedOrders { relay, address, relay_clock_ms, step, argument, orders: Vec::new() })
+        Self::Relayed(RelayedOrders {
+            claim,
+            relay,
+            address,
+            relay_clock_ms,
+            step,
+            argument,
+            orders: Vec::new(),
+        })
     }
 
     /// Returns the peer that gets the orders; `None` if this daemon sends them.
@@ -149,7 +159,9 @@
     }
 
     fn send(self, world: &mut World, now_ms: u64) {
-        let Some((_, first)) = self.orders.first() else { return };
+        if self.orders.is_empty() {
+            return;
+        }
         let relays = &mut world.runs.start_relays.relays;
         let relay = relays.iter_mut().find(|relay| relay.incarnation == self.relay);
         let queueing_ms = relay.map_or(0, |relay| {
@@ -159,7 +171,7 @@
         let timeout_ms = start_timeout_ms(world) + queueing_ms;
         let batch = StartBatch {
             relay: self.relay.clone(),
-            fence: first.fence,
+            claim: self.claim,
             deadline_ms: self.relay_clock_ms.saturating_add(timeout_ms),
             step: self.step,
             argument: self.argument,
@@ -173,8 +185,13 @@
         world.counters.starts_relayed += self.orders.len() as u64;
         for (run, order) in self.orders {
             let order = HostOrder { timeout_ms, ..order };
-            let open =
-                OpenRelayedStart { order, relay: self.relay.clone(), issued_at_ms: now_ms, expires_at_ms };
+            let open = OpenRelayedStart {
+                order,
+                claim: self.claim,
+                relay: self.relay.clone(),
+                issued_at_ms: now_ms,
+                expires_at_ms,
+            };
             world.runs.start_relays.open.insert(run, open);
         }
     }
@@ -189,6 +206,7 @@
         run: *run,
         host_name: order.host_name.clone(),
         address: order.address.as_str().into(),
+        fence: order.fence,
         task_index: task.index,
         run_number: *run_number,
         lease_until_ms: *lease_until_ms,
--- a/crates/cassiahoist_runs/src/handled_starts.rs
+++ b/crates/cassiahoist_runs/src/handled_starts.rs
@@ -7,7 +7,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::keys::{HostKey, RunKey};
-use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome, RefusalReason};
+use cassiahoist_world::orders::{HostOrder, Order, OrderCompletion, OrderOutcome};
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::start_relay::{
@@ -40,10 +40,6 @@
     let completions: Vec<OrderCompletion> = world.inbox.order_results.extract_if(.., is_handled).collect();
     for completion in completions {
         let (fence, Some(run)) = (completion.order.fence, start_run(&completion.order)) else { continue };
-        if completion.outcome == OrderOutcome::Refused(RefusalReason::Fence) {
-            // The host knows a later claim. Nothing further is sent under this one.
-            world.holding.greatest_fence = world.holding.greatest_fence.max(Fence(fence.0 + 1));
-        }
         let outcome = match completion.outcome {
             OrderOutcome::Done { .. } => RelayedOutcome::Started,
             OrderOutcome::Refused(reason) => RelayedOutcome::Refused(reason),
@@ -52,8 +48,8 @@
         };
         let answer = RelayedAnswer { run, outcome, host_clock_ms: completion.host_clock_ms };
         let Some(row) = world.handled_starts.rows.get(&(fence, run)) else { continue };
-        let reply_to = row.reply_to.clone();
-        world.handled_starts.unreturned.entry((fence, reply_to)).or_default().push(answer);
+        let returned_to = (row.claim, row.reply_to.clone());
+        world.handled_starts.unreturned.entry(returned_to).or_default().push(answer);
     }
 }
 
@@ -82,10 +78,10 @@
 }
 
 /// Returns whether a daemon is the holder under a claim that this one knows as in force.
-fn may_relay(world: &World, sender: &PeerSender, fence: Fence) -> bool {
+fn may_relay(world: &World, sender: &PeerSender, claim_fence: Fence) -> bool {
     let claim = world.holding.claim.as_ref();
-    claim.is_some_and(|(claim, revision)| *revision == fence.0 && claim.holder == sender.incarnation)
-        && fence >= world.holding.greatest_fence
+    claim.is_some_and(|(claim, revision)| *revision == claim_fence.0 && claim.holder == sender.incarnation)
+        && claim_fence >= world.holding.greatest_fence
         && !world.local.is_stopping()
 }
 
@@ -108,7 +104,7 @@
         return BatchDecision::Ignore;
     }
     match batch.deadline_ms.checked_sub(now_ms) {
-        Some(timeout_ms) if timeout_ms > 0 && may_relay(world, sender, batch.fence) => {
+        Some(timeout_ms) if timeout_ms > 0 && may_relay(world, sender, batch.claim) => {
             BatchDecision::Send { timeout_ms: timeout_ms.min(MAX_TIMEOUT_MS) }
         }
         _ => BatchDecision::Return,
@@ -121,13 +117,13 @@
         return;
     }
     for start in &batch.starts {
-        let row_key = (batch.fence, start.run);
+        let row_key = (start.fence, start.run);
         // A delivery that was not acknowledged is sent again.
         if world.handled_starts.rows.contains_key(&row_key) {
             continue;
         }
         let remove_at_ms = now_ms + MAX_TIMEOUT_MS + REMEMBERED_MS;
-        let row = HandledStart { reply_to: sender.address.clone(), remove_at_ms };
+        let row = HandledStart { claim: batch.claim, reply_to: sender.address.clone(), remove_at_ms };
         world.handled_starts.rows.insert(row_key, row);
         match decision {
             BatchDecision::Send { timeout_ms } => {
@@ -138,7 +134,7 @@
                 let (run, outcome) = (start.run, RelayedOutcome::NotSent);
                 let answer = RelayedAnswer { run, outcome, host_clock_ms: None };
                 let unreturned = &mut world.handled_starts.unreturned;
-                unreturned.entry((batch.fence, sender.address.clone())).or_default().push(answer);
+                unreturned.entry((batch.claim, sender.address.clone())).or_default().push(answer);
             }
         }
     }
@@ -151,7 +147,7 @@
         host: HostKey::default(),
         host_name: start.host_name.clone(),
         address: start.address.to_string(),
-        fence: batch.fence,
+        fence: start.fence,
         order: Order::Start {
             run: start.run,
             task: TaskName { step: batch.step, index: start.task_index },
@@ -175,8 +171,8 @@
         return world.wake_by(world.handled_starts.next_return_at_ms);
     }
     world.handled_starts.next_return_at_ms = now_ms + RETURN_INTERVAL_MS;
-    for ((fence, address), answers) in std::mem::take(&mut world.handled_starts.unreturned) {
-        let message = PeerMessage::RelayedAnswers(RelayedAnswers { fence, clock_ms: now_ms, answers });
+    for ((claim, address), answers) in std::mem::take(&mut world.handled_starts.unreturned) {
+        let message = PeerMessage::RelayedAnswers(RelayedAnswers { claim, clock_ms: now_ms, answers });
         world.emit(Effect::SendPeerMessage { address, message });
     }
 }
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -33,6 +33,9 @@
             host.entry.started_unix_ms = started_unix_ms;
         }
     }
+    if let Some(host) = world.hosts.get_mut(key) {
+        host.lists_ends = !lists.ended.is_empty();
+    }
     for report in &lists.ended {
         apply_end_report(world, key, report, now_ms);
     }
@@ -89,11 +92,13 @@
 }
 
 fn apply_end_report(world: &mut World, key: HostKey, report: &EndReport, now_ms: u64) {
+    let job = world.jobs.find(&report.task.step.job);
     let Some(host) = world.hosts.get_mut(key) else { return };
     if report.end_number <= host.last_end_applied {
         return;
     }
     host.last_end_applied = report.end_number;
+    host.unrecorded_ends.push(report.end_number, job);
     world.store_writes.ends_unrecorded = true;
     let known_run = find_run(world, key, &report.task, report.run_number);
     if let Some(run) = known_run {
@@ -188,8 +193,12 @@
     for run in unlisted {
         let Some(row) = world.runs.rows.get(run) else { continue };
         if row.state == RunState::Running {
-            let log_record =
-                LogRecord::new(EventId::RunLost).with("task", row.name).with("run", row.run_number);
+            let log_record = LogRecord::new(EventId::RunLost)
+                .with("task", row.name)
+                .with("run", row.run_number)
+                .with("host", world.hosts.get(key).map_or("", |host| host.entry.name.as_str()))
+                .with("lists_age_ms", now_ms.saturating_sub(sent_ms))
+                .with("confirmed_ms_ago", now_ms.saturating_sub(row.confirmed_at_ms));
             world.log(log_record);
         }
         end_run(world, run, RunEnding::Lapsed, &std::sync::Arc::from(""), now_ms);
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll};
+use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll, Restart};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
+use cassiahoist_world::unrecorded_ends::UnrecordedEnds;
 
 use crate::lifecycle::detach_run;
 use crate::outcome::end_run;
@@ -85,7 +86,12 @@
     world.store_writes.roster_stale = true;
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
-    world.log(log_record.with("cause", "its lease expired").with("silent_ms", unresponsive_ms));
+    let log_record = log_record
+        .with("cause", "its lease expired")
+        .with("silent_ms", unresponsive_ms)
+        .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
+        .with("lease_ended_ms_ago", now_ms.saturating_sub(host.lease_end_ms));
+    world.log(log_record);
     expire_runs(world, runs, now_ms);
 }
 
@@ -100,6 +106,10 @@
     host.adoption = Adoption::Unknown;
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
+    host.lists_ends = false;
+    let earlier_clock_offset_ms = host.clock_known.then_some(host.clock_offset_ms);
+    host.last_restart = Some(Restart { noticed_at_ms: now_ms, earlier_clock_offset_ms });
+    host.unrecorded_ends = UnrecordedEnds::default();
     host.clock_known = false;
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
@@ -147,6 +157,10 @@
     if !world.holding.is_holding() {
         return false;
     }
+    let roster_adopted = || {
+        let mut hosts = world.hosts.iter_engaged();
+        hosts.all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
+    };
     now_ms >= world.holding.polling_since_ms + world.local.bounds.max_run_lease_ms()
-        || world.hosts.iter_engaged().all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
+        || (!world.holding.loading.is_roster_unreadable && roster_adopted())
 }
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -17,6 +17,7 @@
 mod stalls;
 mod start_relays;
 mod stop_orders;
+mod unsent_starts;
 
 pub use lease_expiry::{may_start_inherited_jobs, reset_restarted_host};
 pub use lifecycle::{reserve_run, stop_job_runs, stop_run};
@@ -39,9 +40,10 @@
             .add_system(TickSet::Runs, handled_starts::relay_starts)
             .add_system(TickSet::Runs, stalls::stop_stalled_runs)
             .add_system(TickSet::Runs, stop_orders::send_stop_orders)
+            .add_system(TickSet::Runs, unsent_starts::issue_unsent_starts)
             .add_system(TickSet::Runs, pace::send_filler_pace)
             .add_system(TickSet::Runs, poll::poll_hosts)
             .add_system(TickSet::Outgoing, handled_starts::return_handled_answers)
-            .add_system(TickSet::Outgoing, load::log_holder_load);
+            .add_system(TickSet::Outgoing, load::log_load);
     }
 }
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -16,6 +16,7 @@
 use crate::pace::apply_pace_answer;
 use crate::poll::schedule_poll;
 use crate::start_relays::{take_relayed_answers, take_unreturned_starts};
+use crate::unsent_starts::{UnsentStartDecision, decide_unsent_start, keep_unsent_start};
 
 /// Timeout of a poll outside the regular schedule, in milliseconds.
 const IMMEDIATE_POLL_TIMEOUT_MS: u64 = 350;
@@ -83,13 +84,18 @@
         apply_refusal_of_other_host(world, completion, now_ms);
         return NextAnswer::Apply;
     }
+    if is_from_earlier_incarnation(world, &completion) {
+        apply_answer_of_earlier_incarnation(world, completion, now_ms);
+        return NextAnswer::Apply;
+    }
     detect_host_restart(world, &completion, now_ms);
     match sender {
         OrderSender::Holder => update_reachability(world, &completion, now_ms),
         OrderSender::Relay => record_relayed_answer(world, &completion),
     }
-    // A host also refuses an order that carries the fence of an earlier claim of this daemon.
-    let order_outdated = world.holding.fence().is_some_and(|fence| completion.order.fence < fence);
+    // A host also refuses an order from before an earlier claim of this daemon, or from before its own restart.
+    let present_fence = world.order_fence(completion.order.host);
+    let order_outdated = present_fence.is_some_and(|fence| completion.order.fence < fence);
     if completion.outcome == OrderOutcome::Refused(RefusalReason::Fence) && !order_outdated {
         let superseding_fence = Fence(completion.order.fence.0 + 1);
         step_down(world, StepDownCause::Succeeded { by: superseding_fence }, now_ms);
@@ -99,6 +105,31 @@
     NextAnswer::Apply
 }
 
+/// Returns whether an answer comes from an incarnation of the host that has ended.
+///
+/// It may arrive after the holder has learned of the restart. Its clock goes on from that of the earlier incarnation.
+fn is_from_earlier_incarnation(world: &World, completion: &OrderCompletion) -> bool {
+    let Some(clock_ms) = completion.host_clock_ms else { return false };
+    let restart = world.hosts.get(completion.order.host).and_then(|host| host.last_restart);
+    restart.is_some_and(|restart| {
+        let earlier_clock_ms = restart
+            .earlier_clock_offset_ms
+            .map(|offset_ms| completion.completed_at_ms.saturating_add_signed(offset_ms));
+        completion.issued_at_ms < restart.noticed_at_ms
+            && earlier_clock_ms.is_some_and(|earlier_ms| clock_ms.abs_diff(earlier_ms) <= CLOCK_TOLERANCE_MS)
+    })
+}
+
+/// Applies an answer that says nothing about the present incarnation of the host.
+///
+/// The order may still take effect there, as an unanswered one.
+fn apply_answer_of_earlier_incarnation(world: &mut World, completion: OrderCompletion, now_ms: u64) {
+    if !matches!(completion.order.order, Order::Poll { .. }) {
+        let outcome = OrderOutcome::Unknown;
+        apply_answer(world, OrderCompletion { host_clock_ms: None, outcome, ..completion }, now_ms);
+    }
+}
+
 /// Removes a host whose address now belongs to the one that refused the order.
 ///
 /// If the host has moved to another address since the order was issued, only the order is void.
@@ -173,6 +204,11 @@
 }
 
 fn update_reachability(world: &mut World, completion: &OrderCompletion, now_ms: u64) {
+    let is_unanswered = matches!(completion.outcome, OrderOutcome::NotSent(_) | OrderOutcome::Unknown);
+    if is_unanswered && completion.issued_at_ms < world.holding.resumed_at_ms {
+        // Its time passed while this process was suspended.
+        return;
+    }
     if completion.outcome == OrderOutcome::Unknown {
         world.runs.last_unanswered_at_ms = Some(now_ms);
     }
@@ -191,14 +227,22 @@
         OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => {
             if let Some(since_ms) = host.unresponsive_since_ms.take() {
                 let log_record = LogRecord::new(EventId::HostResponsive).with("host", name);
-                world.log(log_record.with("silent_ms", now_ms - since_ms));
+                let log_record = log_record.with("silent_ms", now_ms - since_ms);
+                world.log(log_record.with("order", completion.order.order.name()));
             }
         }
         OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {
             // An answer received after this order was sent shows that the host is reachable.
             if host.unresponsive_since_ms.is_none() && host.last_answer_at_ms < completion.issued_at_ms {
                 host.unresponsive_since_ms = Some(now_ms);
-                let log_record = LogRecord::new(EventId::HostUnresponsive).with("host", name);
+                let log_record = LogRecord::new(EventId::HostUnresponsive)
+                    .with("host", name)
+                    .with("order", completion.order.order.name())
+                    .with("waited_ms", completion.completed_at_ms.saturating_sub(completion.issued_at_ms))
+                    .with("queued_ms", now_ms.saturating_sub(completion.completed_at_ms))
+                    .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
+                    .with("lease_left_ms", host.lease_end_ms.saturating_sub(now_ms))
+                    .with("runs", host.runs.len());
                 world.log(match completion.outcome {
                     OrderOutcome::NotSent(cause) => {
                         log_record.with("outcome", "NotSent").with("cause", format!("{cause:?}"))
@@ -226,6 +270,7 @@
 
 fn apply_start_answer(world: &mut World, key: RunKey, completion: &OrderCompletion, now_ms: u64) {
     let (outcome, host_clock_ms) = (&completion.outcome, completion.host_clock_ms);
+    let waited_ms = completion.completed_at_ms.saturating_sub(completion.issued_at_ms);
     let Some(run) = world.runs.rows.get_mut(key) else { return };
     run.order_in_flight = false;
     let (host, task, run_number) = (run.host, run.task, run.run_number);
@@ -238,7 +283,14 @@
             run.progress_clock_ms = run.progress_clock_ms.max(host_clock_ms.unwrap_or_default());
         }
         OrderOutcome::Unknown => stop_run(world, key, StopReason::Unanswered, now_ms),
-        OrderOutcome::NotSent(cause) => undo_start(world, key, UnstartedCause::NotSent(*cause), now_ms),
+        OrderOutcome::NotSent(cause) => {
+            let decision =
+                world.runs.rows.get(key).map(|run| decide_unsent_start(world, run, *cause, now_ms));
+            if let Some(UnsentStartDecision::IssueAt(issue_at_ms)) = decision {
+                return keep_unsent_start(world, &completion.order, *cause, issue_at_ms, now_ms);
+            }
+            undo_start(world, key, UnstartedCause::NotSent(*cause), waited_ms, now_ms);
+        }
         OrderOutcome::Refused(reason) => {
             match reason {
                 RefusalReason::Late => {
@@ -250,7 +302,7 @@
                 RefusalReason::Ticket => expire_ticket(world, key),
                 _ => {}
             }
-            undo_start(world, key, UnstartedCause::Refused(*reason), now_ms);
+            undo_start(world, key, UnstartedCause::Refused(*reason), waited_ms, now_ms);
         }
     }
     if !matches!(outcome, OrderOutcome::Done { .. }) {
@@ -278,11 +330,11 @@
 }
 
 /// Removes a run that never began and requeues its task.
-fn undo_start(world: &mut World, key: RunKey, cause: UnstartedCause, now_ms: u64) {
+fn undo_start(world: &mut World, key: RunKey, cause: UnstartedCause, waited_ms: u64, now_ms: u64) {
     let Some(run) = drop_run(world, key) else { return };
     let host = world.hosts.get(run.host).map(|host| host.entry.name.to_string()).unwrap_or_default();
     let log_record = LogRecord::new(EventId::StartRefused).with("task", run.name).with("run", run.run_number);
-    let log_record = log_record.with("host", host);
+    let log_record = log_record.with("host", host).with("waited_ms", waited_ms);
     let (log_record, retry_ms) = match cause {
         UnstartedCause::Refused(reason) => {
             world.counters.starts_refused += 1;
@@ -326,7 +378,7 @@
     }
     let Some(host) = world.hosts.get_mut(key) else { return };
     host.open_extra_polls += 1;
-    let last_end_recorded = host.last_end_recorded;
+    let last_end_recorded = host.droppable_end();
     let order = Order::Poll { lease_until_ms: None, last_end_recorded, wait_ms: 0 };
     world.counters.polls += 1;
     let timeout_ms = IMMEDIATE_POLL_TIMEOUT_MS + world.holding.answer_times.latency_allowance_ms();
--- a/crates/cassiahoist_runs/src/start_relays.rs
+++ b/crates/cassiahoist_runs/src/start_relays.rs
@@ -155,7 +155,7 @@
         let open = &mut world.runs.start_relays.open;
         let is_open = open
             .get(&answer.run)
-            .is_some_and(|open| open.order.fence == answers.fence && open.relay == sender.incarnation);
+            .is_some_and(|open| open.claim == answers.claim && open.relay == sender.incarnation);
         if !is_open {
             continue;
         }
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -14,6 +14,7 @@
 mod full_link;
 mod link;
 pub mod machine;
+mod narrow;
 pub mod processor;
 
 use std::collections::BTreeMap;
@@ -75,8 +76,8 @@
     pub start_spread_ms: u64,
     /// Times at which callers submit many jobs.
     pub bursts: Vec<Burst>,
-    /// Least length of the argument of a job, in bytes.
-    pub argument_bytes: usize,
+    /// Greatest length that the arguments of jobs have beside their names, in bytes.
+    pub max_argument_bytes: usize,
 }
 
 impl Default for Scenario {
@@ -92,7 +93,7 @@
             machines: Vec::new(),
             start_spread_ms: 0,
             bursts: Vec::new(),
-            argument_bytes: 0,
+            max_argument_bytes: 0,
         }
     }
 }
@@ -279,7 +280,7 @@
                 daemon,
                 daemon_started_unix_ms,
                 relay: batch.relay.member.clone(),
-                fence: batch.fence.0,
+                fence: start.fence.0,
                 task: TaskName { step: batch.step, index: start.task_index },
                 run: start.run_number,
             };
--- a/crates/cassiahoist_standins/src/sim/daemon.rs
+++ b/crates/cassiahoist_standins/src/sim/daemon.rs
@@ -82,7 +82,7 @@
             restart_at_ms: None,
             store_unreachable_until_ms: 0,
             cut_from_peers_until_ms: 0,
-            link: Link::default(),
+            link: Link::new(&machine),
             connections: None,
             tick_count: 0,
             tick_time: Duration::ZERO,
--- a/crates/cassiahoist_standins/src/workload.rs
+++ b/crates/cassiahoist_standins/src/workload.rs
@@ -198,8 +198,8 @@
     })
 }
 
-/// Draws a random job, whose argument has at least `argument_bytes` bytes.
-pub fn draw_job(rng: &mut SmallRng, workload: Workload, argument_bytes: usize) -> Job {
+/// Draws a random job, whose argument is up to `max_argument_bytes` longer than its name.
+pub fn draw_job(rng: &mut SmallRng, workload: Workload, max_argument_bytes: usize) -> Job {
     let id = JobId(rng.random());
     let queue = match rng.random_range(0..10) {
         0..=5 => 0,
@@ -216,8 +216,8 @@
         }
     }
     let step_values: Vec<Value> = steps.iter().map(step_json).collect();
-    let mut argument = format!("job {id}");
-    argument.extend(std::iter::repeat_n(' ', argument_bytes.saturating_sub(argument.len())));
+    let padding_bytes = if max_argument_bytes > 0 { rng.random_range(0..=max_argument_bytes) } else { 0 };
+    let argument = format!("job {id}{}", "x".repeat(padding_bytes));
     let body = json!({ "spec": argument, "steps": step_values }).to_string().into_bytes();
     Job { id, queue, steps, body }
 }
--- a/crates/cassiahoist_traffic/src/lib.rs
+++ b/crates/cassiahoist_traffic/src/lib.rs
@@ -6,6 +6,7 @@
 //! defines its message formats by implementing the traits of [`protocol`].
 
 pub mod advice_client;
+pub mod caller_connections;
 pub mod caller_server;
 pub mod clock;
 pub mod control_link;
@@ -17,4 +18,6 @@
 pub mod peer_links;
 pub mod peer_server;
 pub mod protocol;
+mod recent_deliveries;
 pub mod store_client;
+pub mod traffic_meter;
--- a/crates/cassiahoist_world/src/advice.rs
+++ b/crates/cassiahoist_world/src/advice.rs
@@ -69,8 +69,11 @@
     /// Hosts that the service approved; `None` if the call failed.
     #[serde(rename = "good")]
     pub approved: Option<Vec<ApprovedHost>>,
-    /// Lifetime of the tickets from the answer on, in milliseconds.
+    /// Lifetime of the tickets from the service's answer on, in milliseconds.
     pub ticket_ms: u64,
+    /// Time from the receipt of the call by the daemon that made it to the service's answer, in milliseconds.
+    #[serde(default)]
+    pub took_ms: u64,
 }
 
 /// A call for advice whose result is open.
@@ -84,7 +87,7 @@
     pub member: MemberName,
     /// When it was sent, in monotonic milliseconds.
     pub sent_at_ms: u64,
-    /// When its answer is expected by the service's cost, in monotonic milliseconds.
+    /// When its answer is expected by the service's cost and the holder's own delays, in monotonic milliseconds.
     pub expected_at_ms: u64,
     /// When the holder makes another call for the step instead, in monotonic milliseconds.
     pub abandon_at_ms: u64,
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -14,6 +14,7 @@
 use crate::rows::{IndexedRows, Row};
 use crate::runs::RunTable;
 use crate::spec::StepSpec;
+use crate::unrecorded_ends::UnrecordedEnds;
 
 /// Store entry in which a host describes itself.
 ///
@@ -50,6 +51,12 @@
     Adopted,
 }
 
+/// Time after which silence of all hosts is taken for a fault of this daemon or its path, in milliseconds.
+const COMMON_SILENCE_MS: u64 = 1_000;
+
+/// Fewest hosts whose common silence is taken for a fault of this daemon or its path.
+const MIN_COMMONLY_SILENT_HOSTS: usize = 5;
+
 /// State of the regular polls of a host; at most one is open.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Poll {
@@ -87,6 +94,15 @@
     pub has_unknown_size: bool,
 }
 
+/// A restart of a host, as far as orders from before it are concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restart {
+    /// When the holder learned of it, in monotonic milliseconds.
+    pub noticed_at_ms: u64,
+    /// Clock of the earlier incarnation minus this daemon's, in milliseconds; `None` if it was unknown.
+    pub earlier_clock_offset_ms: Option<i64>,
+}
+
 /// A backend server in one incarnation.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -95,6 +111,13 @@
     /// Whether a restart was detected by the host's clock alone. Then the start of the new incarnation is
     /// still unknown.
     pub start_unknown: bool,
+    /// Latest restart that the holder noticed; `None` before the first.
+    pub last_restart: Option<Restart>,
+    /// Least fencing token of orders to the host.
+    ///
+    /// It is the revision of the roster write that listed the present incarnation: later than the claim, and earlier than
+    /// any other one. An order from before that write can no longer take effect once a later one has.
+    pub min_fence: Fence,
     /// Since when the host has had no store entry, in monotonic milliseconds. `None` if it has one.
     pub missing_since_ms: Option<u64>,
     /// Since when the host has been draining, in monotonic milliseconds. `None` if it is not.
@@ -125,6 +148,10 @@
     pub last_end_applied: u64,
     /// Greatest end number that is durable in the store. The host may drop ends up to it.
     pub last_end_recorded: u64,
+    /// Whether the latest lists of the host contained ends.
+    pub lists_ends: bool,
+    /// Ends between these two.
+    pub unrecorded_ends: UnrecordedEnds,
     /// The host's own clock at the latest lists that were applied, in milliseconds; 0 before the first.
     pub lists_clock_ms: u64,
     /// When these lists arrived, in monotonic milliseconds; 0 before the first.
@@ -152,6 +179,8 @@
         Self {
             entry,
             start_unknown: false,
+            last_restart: None,
+            min_fence: Fence(0),
             missing_since_ms: None,
             draining_since_ms: None,
             adoption: Adoption::Unknown,
@@ -165,6 +194,8 @@
             in_roster: false,
             last_end_applied: 0,
             last_end_recorded: 0,
+            lists_ends: false,
+            unrecorded_ends: UnrecordedEnds::default(),
             lists_clock_ms: 0,
             lists_received_at_ms: 0,
             reserved: Resources::default(),
@@ -224,6 +255,15 @@
             && now_ms >= self.standing.quarantined_until_ms
     }
 
+    /// Returns the greatest end number that the host may drop now; 0 for none.
+    ///
+    /// Another incarnation would drop ends of its own by it. So it is 0 unless there is something to drop, and unless the host
+    /// answered the last order.
+    #[must_use]
+    pub fn droppable_end(&self) -> u64 {
+        if self.lists_ends && self.unresponsive_since_ms.is_none() { self.last_end_recorded } else { 0 }
+    }
+
     /// Converts a monotonic time to the host's own clock, in milliseconds.
     #[must_use]
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
@@ -382,6 +422,27 @@
         self.engaged.iter().filter_map(|key| Some((*key, self.rows.get(*key)?)))
     }
 
+    /// Returns whether every host with runs has been silent for a while, and these are several.
+    ///
+    /// The path between this daemon and the hosts is lost then, rather than all hosts.
+    #[must_use]
+    pub fn are_all_silent(&self, now_ms: u64) -> bool {
+        let is_silent = |host: &Host| {
+            host.unresponsive_since_ms.is_some_and(|since_ms| now_ms >= since_ms + COMMON_SILENCE_MS)
+        };
+        let mut silent_count = 0;
+        for (visited, key) in self.engaged.iter().enumerate() {
+            let Some(host) = self.rows.get(*key).filter(|host| !host.runs.is_empty()) else { continue };
+            if !is_silent(host) {
+                self.rows_visited.set(self.rows_visited.get() + visited as u64 + 1);
+                return false;
+            }
+            silent_count += 1;
+        }
+        self.count_visit();
+        silent_count >= MIN_COMMONLY_SILENT_HOSTS
+    }
+
     /// Collects the keys of the engaged hosts.
     ///
     /// The copy lets a caller change rows while it goes through the keys.
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -70,6 +70,17 @@
         (argument.len() + ORDER_OVERHEAD_BYTES) as u64
     }
 
+    /// Returns the name of the kind of order, which log lines carry.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Start { .. } => "Start",
+            Self::Stop { .. } => "Stop",
+            Self::Poll { .. } => "Poll",
+            Self::SetPace { .. } => "SetPace",
+        }
+    }
+
     /// Returns about how many bytes the order takes on the link.
     #[must_use]
     pub fn size_bytes(&self) -> u64 {
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -9,6 +9,7 @@
 use crate::start_budget::StartBudget;
 use crate::start_relay::StartRelayTable;
 use crate::start_window::StartWindow;
+use crate::unsent_starts::UnsentStart;
 
 /// State of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,6 +103,8 @@
     pub start_budget: StartBudget,
     /// Peers that send start orders while these fill the holder's link.
     pub start_relays: StartRelayTable,
+    /// Start orders that were not sent and are issued again.
+    pub unsent_starts: Vec<UnsentStart>,
     /// Runs that were ordered to stop and may need a further stop order.
     pub stopping: FxHashSet<RunKey>,
     /// When to look for stalled runs next, in monotonic milliseconds.
@@ -124,6 +127,7 @@
     pub fn clear(&mut self) {
         self.rows.clear();
         self.stopping.clear();
+        self.unsent_starts.clear();
         self.start_window = StartWindow::default();
         self.start_budget = StartBudget::default();
         self.start_relays.clear();
--- a/crates/cassiahoist_world/src/start_relay.rs
+++ b/crates/cassiahoist_world/src/start_relay.rs
@@ -34,6 +34,8 @@
     pub host_name: HostName,
     /// Address of the host, as `ip:port`.
     pub address: Arc<str>,
+    /// Fencing token of the order; that of the claim, or a later one before any other claim.
+    pub fence: Fence,
     /// Index of the task within the step.
     pub task_index: u32,
     /// Number of the run.
@@ -64,8 +66,8 @@
 pub struct StartBatch {
     /// Daemon that is to send the orders. Another incarnation has another clock and sends none.
     pub relay: Incarnation,
-    /// Fencing token of the holder.
-    pub fence: Fence,
+    /// Claim of the holder.
+    pub claim: Fence,
     /// When the orders may no longer be sent, on the relay's monotonic clock, in milliseconds.
     pub deadline_ms: u64,
     /// Name of the step.
@@ -115,8 +117,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RelayedAnswers {
-    /// Fencing token of the orders.
-    pub fence: Fence,
+    /// Claim under which the orders were issued.
+    pub claim: Fence,
     /// The relay's monotonic clock when it sent this message, in milliseconds.
     pub clock_ms: u64,
     /// Answers; empty in the reply to a request to relay.
@@ -202,6 +204,8 @@
 pub struct OpenRelayedStart {
     /// Order as the host gets it.
     pub order: HostOrder,
+    /// Claim under which it was issued.
+    pub claim: Fence,
     /// Daemon that relays it.
     pub relay: Incarnation,
     /// When it was issued, in monotonic milliseconds.
@@ -245,6 +249,8 @@
 /// An order that this daemon sends for the holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HandledStart {
+    /// Claim under which the holder issued it.
+    pub claim: Fence,
     /// Address of the holder, to which the answer is returned, as `ip:port`.
     pub reply_to: String,
     /// When the row may be removed, in monotonic milliseconds. A copy of the batch is out of date by then.
@@ -256,7 +262,7 @@
 pub struct HandledStartTable {
     /// Orders that it got, by fencing token and run; kept for a while, since a batch may arrive twice.
     pub rows: FxHashMap<(Fence, RunKey), HandledStart>,
-    /// Answers to return, by fencing token and address of the holder.
+    /// Answers to return, by claim and address of the holder.
     pub unreturned: FxHashMap<(Fence, String), Vec<RelayedAnswer>>,
     /// When answers are next returned, in monotonic milliseconds.
     pub next_return_at_ms: u64,
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -65,6 +65,8 @@
     pub load: LoadTable,
     /// When the next tick is due, in monotonic milliseconds. Reset to `u64::MAX` by each tick.
     pub wake_at_ms: u64,
+    /// When the present tick was due, in monotonic milliseconds; `u64::MAX` if no system requested it.
+    pub due_at_ms: u64,
 }
 
 impl World {
@@ -91,6 +93,7 @@
             counters: Counters::default(),
             load: LoadTable::default(),
             wake_at_ms: u64::MAX,
+            due_at_ms: u64::MAX,
         }
     }
 
@@ -119,6 +122,13 @@
         self.emit(Effect::CallStore { call, issued_at_ms: now_ms });
     }
 
+    /// Returns the fencing token of orders to a host; `None` without a claim.
+    #[must_use]
+    pub fn order_fence(&self, host: HostKey) -> Option<Fence> {
+        let min_fence = self.hosts.get(host).map_or(Fence(0), |row| row.min_fence);
+        self.holding.fence().map(|fence| fence.max(min_fence))
+    }
+
     /// Sends an order to a host under this daemon's fencing token.
     ///
     /// Does nothing if this daemon has no claim or the host has no row.
@@ -132,7 +142,7 @@
     /// `None` if this daemon has no claim or the host has no row.
     #[must_use]
     pub fn address_order(&self, host: HostKey, order: Order, timeout_ms: u64) -> Option<HostOrder> {
-        let (fence, row) = (self.holding.fence()?, self.hosts.get(host)?);
+        let (fence, row) = (self.order_fence(host)?, self.hosts.get(host)?);
         Some(HostOrder {
             host,
             host_name: row.entry.name.clone(),
