--- a/crates/cassiahoist_runs/src/unsent_starts.rs
+++ b/crates/cassiahoist_runs/src/unsent_starts.rs
@@ -41,7 +41,11 @@
         | UnsentCause::ConnectTimeout
         | UnsentCause::ConnectionClosed => true,
         // After a pause of the process the claim has to be confirmed first.
-        UnsentCause::Expired | UnsentCause::Unencodable | UnsentCause::ConnectFailed => false,
+        UnsentCause::Expired
+        | UnsentCause::Unencodable
+        | UnsentCause::ConnectFailed
+        // Starts of gangs are not relayed.
+        | UnsentCause::Relay => false,
     };
     let is_gang = world.jobs.task_context(run.task).is_some_and(|(_, _, spec)| spec.gang);
     let issue_at_ms = now_ms + REISSUE_DELAY_MS;
--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -61,9 +61,10 @@
     fn http_for(&self, purpose: &StorePurpose) -> &HttpClient {
         match purpose {
             StorePurpose::GrantLease | StorePurpose::RenewLease | StorePurpose::EndLease => &self.lease_http,
-            StorePurpose::StoreJob(_) | StorePurpose::ReadJob(_) | StorePurpose::CancelJob(_) => {
-                &self.caller_http
-            }
+            StorePurpose::StoreJob(_)
+            | StorePurpose::ReadJob(_)
+            | StorePurpose::ReadProgress(_)
+            | StorePurpose::CancelJob(_) => &self.caller_http,
             StorePurpose::RegisterMember
             | StorePurpose::ClaimSlice
             | StorePurpose::ReleaseClaim
--- a/crates/cassiahoist_world/src/unsent.rs
+++ b/crates/cassiahoist_world/src/unsent.rs
@@ -17,10 +17,12 @@
     ConnectTimeout,
     /// The connection closed before the request was written to it.
     ConnectionClosed,
+    /// The peer that was to send it could not do so.
+    Relay,
 }
 
 impl UnsentCause {
-    /// Every cause, in the order of the variants.
+    /// Every cause for which this process did not send a request, in the order of the variants.
     pub const ALL: [Self; 7] = [
         Self::NoFreeConnection,
         Self::LocalResources,
@@ -35,7 +37,11 @@
     #[must_use]
     pub fn is_local(self) -> bool {
         match self {
-            Self::NoFreeConnection | Self::LocalResources | Self::Expired | Self::Unencodable => true,
+            Self::NoFreeConnection
+            | Self::LocalResources
+            | Self::Expired
+            | Self::Unencodable
+            | Self::Relay => true,
             Self::ConnectFailed | Self::ConnectTimeout | Self::ConnectionClosed => false,
         }
     }
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -1,8 +1,8 @@
 //! Runs seeded simulations with faults and checks them against the scheduler's invariants.
 //!
 //! `cargo run --release --example prove -- --seeds 500`; `--seed N` repeats one seed and prints its log. Each seed is
-//! played with all workloads and with overlapping misfortunes, and one in twenty with the crowded and the narrow scenario,
-//! which take longer; `--crowded-seeds N` sets their number.
+//! played with all workloads and with overlapping misfortunes, one in five with full links, and one in twenty with the
+//! crowded and the narrow scenario, which take longer; `--full-link-seeds N` and `--crowded-seeds N` set their numbers.
 
 use std::process::ExitCode;
 
@@ -15,6 +15,9 @@
 /// Number of seeds for each seed of the crowded and the narrow scenario.
 const SEEDS_PER_CROWDED: u64 = 20;
 
+/// Number of seeds for each seed of the scenario with full links.
+const SEEDS_PER_FULL_LINK: u64 = 5;
+
 /// Kind of simulated day.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Day {
@@ -22,6 +25,8 @@
     Seeded(Workload),
     /// Many hosts, daemons on unlike machines and a backlog after a loss of power.
     Crowded,
+    /// Start orders that fill the holder's link, and faults of the daemons that relay them.
+    FullLink,
     /// A link of the holder that start orders fill.
     Narrow,
     /// Restarts, late orders, silence and changes of the holder that overlap.
@@ -33,6 +38,7 @@
         match self {
             Self::Seeded(workload) => Scenario::from_seed(seed, workload),
             Self::Crowded => Scenario::crowded(seed),
+            Self::FullLink => Scenario::full_link(seed),
             Self::Narrow => Scenario::narrow(seed),
             Self::Misfortunes => Scenario::misfortunes(seed),
         }
@@ -43,11 +49,13 @@
 struct Args {
     seeds: u64,
     crowded_seeds: Option<u64>,
+    full_link_seeds: Option<u64>,
     from: u64,
     seed: Option<u64>,
     varied: bool,
     copies: bool,
     crowded: bool,
+    full_link: bool,
     narrow: bool,
     misfortunes: bool,
 }
@@ -57,6 +65,8 @@
     fn day(&self) -> Day {
         if self.crowded {
             Day::Crowded
+        } else if self.full_link {
+            Day::FullLink
         } else if self.narrow {
             Day::Narrow
         } else if self.misfortunes {
@@ -79,7 +89,9 @@
         let small = seeds.flat_map(|seed| small_days.map(|day| (seed, day)));
         let large_days = [Day::Crowded, Day::Narrow];
         let large = (self.from..self.from + crowded_seeds).flat_map(|seed| large_days.map(|day| (seed, day)));
-        small.chain(large).collect()
+        let full_link_seeds = self.full_link_seeds.unwrap_or(self.seeds / SEEDS_PER_FULL_LINK);
+        let full_link = (self.from..self.from + full_link_seeds).map(|seed| (seed, Day::FullLink));
+        small.chain(full_link).chain(large).collect()
     }
 }
 
@@ -89,6 +101,10 @@
         .help("Number of seeds with the crowded and the narrow scenario; one in twenty seeds by default")
         .argument("N")
         .optional();
+    let full_link_seeds = long("full-link-seeds")
+        .help("Number of seeds with full links; one in five seeds by default")
+        .argument("N")
+        .optional();
     let from = long("from").help("First seed").argument("N").fallback(1);
     let seed = long("seed").help("Runs one seed and prints its log").argument("N").optional();
     let varied = long("varied")
@@ -105,9 +121,26 @@
     let misfortunes = long("misfortunes")
         .help("With --seed: plays restarts, late orders, silence and changes of the holder that overlap")
         .switch();
-    construct!(Args { seeds, crowded_seeds, from, seed, varied, copies, crowded, narrow, misfortunes })
-        .to_options()
-        .descr("Runs seeded simulations with faults")
+    let full_link = long("full-link")
+        .help(
+            "With --seed: plays start orders that fill all links, and faults of the daemons that relay them",
+        )
+        .switch();
+    construct!(Args {
+        seeds,
+        crowded_seeds,
+        full_link_seeds,
+        from,
+        seed,
+        varied,
+        copies,
+        crowded,
+        full_link,
+        narrow,
+        misfortunes
+    })
+    .to_options()
+    .descr("Runs seeded simulations with faults")
 }
 
 /// Runs one simulated day of a seed and returns the violations.
