Break a gang at once if the host of a member is lost

What callers would see: a gang that was placed on a host without power starts a second later than it could.

Cause: an unsent start of a gang was issued again also if the connection to the host did not open in time. With quick answers of other hosts that shows that this one is lost.

Change: such a start is issued again only while even the quickest answer is slow, so that the holder's own link explains it.

Evidence: `gang_waits_for_a_connection_only_while_all_answers_are_slow` fails without the condition. 159 tests of systems pass.

--- a/crates/cassiahoist_runs/src/unsent_starts.rs
+++ b/crates/cassiahoist_runs/src/unsent_starts.rs
@@ -36,10 +36,9 @@
     now_ms: u64,
 ) -> UnsentStartDecision {
     let may_be_sent = match cause {
-        UnsentCause::NoFreeConnection
-        | UnsentCause::LocalResources
-        | UnsentCause::ConnectTimeout
-        | UnsentCause::ConnectionClosed => true,
+        UnsentCause::NoFreeConnection | UnsentCause::LocalResources | UnsentCause::ConnectionClosed => true,
+        // With quick answers of other hosts, this one is lost.
+        UnsentCause::ConnectTimeout => world.holding.answer_times.is_congested(),
         // After a pause of the process the claim has to be confirmed first.
         UnsentCause::Expired | UnsentCause::Unencodable | UnsentCause::ConnectFailed => false,
     };
