--- a/crates/cassiahoist_standins/tests/systems/start_relays.rs
+++ b/crates/cassiahoist_standins/tests/systems/start_relays.rs
@@ -295,6 +295,22 @@
     assert!(last_batch_at_ms < first_batch_at_ms + 600, "{} ms", last_batch_at_ms - first_batch_at_ms);
 }
 
+/// A relay that is stopping, or knows a later claim, returns all orders unsent, and each was delayed by the detour.
+#[test]
+fn relay_that_returns_all_orders_unsent_gets_no_further_ones() {
+    let mut holder = holder_with_relay();
+    let batch = first_batch(&mut holder);
+    answer(&mut holder, &batch, RelayedOutcome::NotSent);
+    for id in 2..20 {
+        add_job(&mut holder, id, step(20));
+        for _ in 0..20 {
+            holder.tick(5);
+            holder.confirm_starts();
+            assert!(batches(&holder).is_empty(), "a batch {} ms later", holder.now_ms);
+        }
+    }
+}
+
 /// A message may arrive twice, and a late one may come from a peer that no longer has the order.
 #[test]
 fn answers_that_do_not_match_an_open_order_are_ignored() {
