Tell orders that a relay declines from those that it could not send

Callers would see: on a full link, relays left out for 10 s since a host had left.

A relay also returns orders unsent whose host can't be reached.

Change: a relay that is stopping, knows another claim or got a batch too late says that it declines the orders, and only then it is left out. A batch whose time has passed is declined, so the test of it expects that in place of not sent.

Evidence: relay_that_declines_orders_gets_no_further_ones, relay_that_could_not_send_orders_gets_further_ones.

--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -128,7 +128,7 @@
     611 AdviceFailed Info Work "A call for advice failed or timed out.";
     612 FillerPaceChanged Info Work "The processor share of fillers on a host changed.";
     613 ProgressConflict Warning Work "A progress record's revision differs from the one that this holder knows.";
-    620 StartRelayDropped Info Daemon "A peer left start orders, or the request to relay them, without a reply, or returned orders unsent.";
+    620 StartRelayDropped Info Daemon "A peer left start orders, or the request to relay them, without a reply, or declined orders.";
     700 ConfigInForce Info Daemon "A new configuration is in force.";
     701 ConfigRejected Error Daemon "A configuration is unreadable; the previous one stays in force.";
     702 DeclarationsStored Info Daemon "An operator's declarations were stored, or the attempt failed.";
--- a/crates/cassiahoist_runs/src/handled_starts.rs
+++ b/crates/cassiahoist_runs/src/handled_starts.rs
@@ -90,7 +90,7 @@
 enum BatchDecision {
     /// It is for another incarnation, whose clock its deadline refers to.
     Ignore,
-    /// Its orders are returned as not sent.
+    /// Its orders are returned as declined.
     Return,
     /// Its orders are sent.
     Send {
@@ -131,7 +131,7 @@
                 world.emit(Effect::SendOrder { order, issued_at_ms: now_ms });
             }
             BatchDecision::Return | BatchDecision::Ignore => {
-                let (run, outcome) = (start.run, RelayedOutcome::NotSent);
+                let (run, outcome) = (start.run, RelayedOutcome::Declined);
                 let answer = RelayedAnswer { run, outcome, host_clock_ms: None };
                 let unreturned = &mut world.handled_starts.unreturned;
                 unreturned.entry((batch.claim, sender.address.clone())).or_default().push(answer);
--- a/crates/cassiahoist_runs/src/start_relays.rs
+++ b/crates/cassiahoist_runs/src/start_relays.rs
@@ -127,7 +127,7 @@
 
 /// Takes the answers that relays returned, as those of the hosts themselves.
 ///
-/// A relay that returns all orders of a message unsent gets no more for a while.
+/// A relay that declines orders gets no more for a while.
 pub(crate) fn take_relayed_answers(world: &mut World, now_ms: u64) -> Vec<OrderCompletion> {
     let is_answer = |message: &PeerMessage| matches!(message, PeerMessage::RelayedAnswers(_));
     let mut completions = Vec::new();
@@ -153,7 +153,7 @@
     now_ms: u64,
     completions: &mut Vec<OrderCompletion>,
 ) {
-    let (mut taken_count, mut unsent_count) = (0, 0);
+    let mut declined_count = 0;
     for answer in &answers.answers {
         let open = &mut world.runs.start_relays.open;
         let is_open = open
@@ -166,16 +166,14 @@
         let outcome = match answer.outcome {
             RelayedOutcome::Started => OrderOutcome::Done { lists: None },
             RelayedOutcome::Refused(reason) => OrderOutcome::Refused(reason),
-            RelayedOutcome::NotSent => OrderOutcome::NotSent(UnsentCause::Relay),
+            RelayedOutcome::NotSent | RelayedOutcome::Declined => OrderOutcome::NotSent(UnsentCause::Relay),
             RelayedOutcome::Unknown => OrderOutcome::Unknown,
         };
-        taken_count += 1;
-        unsent_count += usize::from(answer.outcome == RelayedOutcome::NotSent);
+        declined_count += usize::from(answer.outcome == RelayedOutcome::Declined);
         completions.push(completion(open, outcome, answer.host_clock_ms, now_ms));
     }
-    // It is stopping, or knows a later claim, or can't send anything.
-    if taken_count > 0 && unsent_count == taken_count {
-        exclude_relay(world, &sender.incarnation, unsent_count, now_ms);
+    if declined_count > 0 {
+        exclude_relay(world, &sender.incarnation, declined_count, now_ms);
     }
 }
 
--- a/crates/cassiahoist_world/src/start_relay.rs
+++ b/crates/cassiahoist_world/src/start_relay.rs
@@ -94,9 +94,12 @@
     /// The host refused it and did nothing.
     #[serde(rename = "r")]
     Refused(RefusalReason),
-    /// The relay never sent it. That says nothing about the host.
+    /// The relay could not send it. That says nothing about the host.
     #[serde(rename = "n")]
     NotSent,
+    /// The relay did not send it, since it is stopping, knows another claim, or got the batch too late.
+    #[serde(rename = "x")]
+    Declined,
     /// The host did not answer; the order may take effect now or later.
     #[serde(rename = "u")]
     Unknown,
