--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::advice::Ticket;
+use cassiahoist_world::advice::{AdviceAnswer, Ticket};
+use cassiahoist_world::config::AdviceCost;
 use cassiahoist_world::effect::Effect;
 use cassiahoist_world::event::Event;
 use cassiahoist_world::jobs::TaskState;
@@ -12,7 +13,9 @@
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::store::{StorePurpose, StoreReply};
 
-use crate::support::{TestDaemon, end, ended_lists, host_entry, running, running_lists, step, task_name};
+use crate::support::{
+    TestDaemon, end, ended_lists, host_entry, job_record, running, running_lists, step, task_name,
+};
 
 #[test]
 fn tasks_never_exceed_host_capacity() {
@@ -219,7 +222,7 @@
     assert!(calls <= 2, "{calls} advice calls although none was answered");
     // A late answer still counts, and the next call follows.
     let call = *holder.app.world().advice.open_calls.keys().min().unwrap();
-    let answer = cassiahoist_world::advice::AdviceAnswer {
+    let answer = AdviceAnswer {
         call,
         approved: Some(vec![cassiahoist_world::advice::ApprovedHost {
             host: host_entry(0).name,
@@ -344,11 +347,10 @@
 }
 
 /// Adds a job of one task whose call for advice takes `call_ms`.
-fn add_advised_job(holder: &mut TestDaemon, id: u64, call_ms: f64) {
-    let mut job = crate::support::job_record(id, vec![step(1)]);
+fn add_job_with_advice_of(holder: &mut TestDaemon, id: u64, call_ms: f64) {
+    let mut job = job_record(id, vec![step(1)]);
     let policy = Arc::make_mut(&mut Arc::make_mut(&mut job).policy);
-    policy.advice =
-        Some(cassiahoist_world::config::AdviceCost { call_ms, per_host_ms: 0.0, ticket_ms: 2_500 });
+    policy.advice = Some(AdviceCost { call_ms, per_host_ms: 0.0, ticket_ms: 2_500 });
     let now_ms = holder.now_ms;
     cassiahoist_jobs::insert_job(holder.app.world_mut(), &job, None, now_ms);
 }
@@ -361,21 +363,16 @@
 fn daemon_with_a_long_call_gets_no_further_one() {
     let mut holder = TestDaemon::with_hosts(4);
     holder.add_member(0);
-    add_advised_job(&mut holder, 1, 20.0);
+    add_job_with_advice_of(&mut holder, 1, 20.0);
     holder.tick(10);
     assert_eq!(advice_calls(&holder), 1);
-    add_advised_job(&mut holder, 2, 1_000.0);
+    add_job_with_advice_of(&mut holder, 2, 1_000.0);
     holder.tick(15);
     assert_eq!(advice_calls(&holder), 1, "the next call is sent shortly before the first is answered");
     let call = *holder.app.world().advice.open_calls.keys().min().unwrap();
-    let answer = cassiahoist_world::advice::AdviceAnswer {
-        call,
-        approved: Some(Vec::new()),
-        ticket_ms: 2_500,
-        took_ms: 20,
-    };
+    let answer = AdviceAnswer { call, approved: Some(Vec::new()), ticket_ms: 2_500, took_ms: 20 };
     holder.receive_event(Event::AdviceReceived(answer));
-    add_advised_job(&mut holder, 3, 20.0);
+    add_job_with_advice_of(&mut holder, 3, 20.0);
     let mut waited_ms = 0;
     while advice_calls(&holder) == 0 {
         holder.tick(10);
