Write the renewal of a lease in tests once

Four tests of pauses and one of unsent calls looked for the call that renews the lease in the same words, and one test built a poll that stands beside it. They share TestDaemon::lease_renewal and earlier_poll.

--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -121,14 +121,8 @@
 #[test]
 fn refusal_at_an_earlier_address_keeps_the_host() {
     let mut holder = TestDaemon::with_running_tasks(1, 1);
-    let late_poll = HostOrder {
-        host: holder.host(0),
-        host_name: host_entry(0).name,
-        address: host_entry(0).address,
-        fence: FENCE,
-        order: Order::Poll { lease_until_ms: None, last_end_recorded: 0, wait_ms: 0 },
-        timeout_ms: 100,
-    };
+    let order = Order::Poll { lease_until_ms: None, last_end_recorded: 0, wait_ms: 0 };
+    let late_poll = HostOrder { order, ..earlier_poll(&holder) };
     let started_unix_ms = host_entry(0).started_unix_ms + 50_000;
     let moved = HostEntry { address: "10.9.0.200:80".into(), started_unix_ms, ..host_entry(0) };
     holder.receive_changes(KeySpace::Hosts, vec![entry_change(moved)], 90);
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -63,14 +63,12 @@
 fn no_start_after_a_pause_until_the_lease_is_renewed() {
     let mut holder = TestDaemon::with_hosts(1);
     holder.tick(100);
-    let renewal =
-        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap();
+    let renewal = holder.lease_renewal();
     holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 2_000 }));
     holder.add_job(1, vec![step(1)]);
     holder.tick(3_000);
     assert!(holder.starts().is_empty());
-    let renewal =
-        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap();
+    let renewal = holder.lease_renewal();
     holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 2_000 }));
     holder.tick(10);
     assert_eq!(holder.app.world().counters.starts, 1);
@@ -84,8 +82,7 @@
 fn no_start_after_a_pause_while_the_store_is_silent() {
     let mut holder = TestDaemon::with_hosts(1);
     holder.tick(100);
-    let renewal =
-        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap();
+    let renewal = holder.lease_renewal();
     holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 2_000 }));
     holder.add_job(1, vec![step(1)]);
     holder.tick(3_000);
@@ -119,10 +116,7 @@
     holder.tick(10);
     let is_poll = |order: &Order| matches!(order, Order::Poll { .. });
     let poll = holder.orders().find(|order| is_poll(&order.order)).cloned().unwrap();
-    let find_renewal = |holder: &TestDaemon| {
-        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap()
-    };
-    let renewal = find_renewal(&holder);
+    let renewal = holder.lease_renewal();
     holder.confirm_starts();
     let renewed = || Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 });
     holder.answer_store(renewal, renewed());
@@ -131,7 +125,7 @@
     holder.now_ms += 3_000;
     holder.answer_issued_at(poll, OrderOutcome::Unknown, None, issued_at_ms);
     assert_eq!(holder.app.world().hosts.get(host).unwrap().unresponsive_since_ms, None);
-    let renewal = find_renewal(&holder);
+    let renewal = holder.lease_renewal();
     holder.tick(30);
     assert!(holder.orders().any(|order| is_poll(&order.order)), "the host is polled again soon");
     holder.answer_store(renewal, renewed());
@@ -146,8 +140,7 @@
 fn no_start_after_a_pause_in_which_the_lease_may_have_ended() {
     let mut holder = TestDaemon::with_hosts(1);
     holder.tick(100);
-    let renewal =
-        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap();
+    let renewal = holder.lease_renewal();
     holder.answer_store(renewal, Ok(StoreReply::LeaseGranted { lease: 7, ttl_ms: 1_500 }));
     holder.tick(390);
     holder.add_job(1, vec![step(1)]);
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -116,6 +116,11 @@
         self.app.world_mut().members.insert(record, 0);
     }
 
+    /// Returns the call of the last tick that renews the daemon's lease.
+    pub fn lease_renewal(&self) -> StoreCall {
+        self.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap()
+    }
+
     /// Advances the time and runs a tick.
     pub fn tick(&mut self, elapsed_ms: u64) -> &[Effect] {
         self.now_ms += elapsed_ms;
--- a/crates/cassiahoist_standins/tests/systems/unsent_orders.rs
+++ b/crates/cassiahoist_standins/tests/systems/unsent_orders.rs
@@ -7,7 +7,7 @@
 use cassiahoist_world::peer::{PeerMessage, PeerSender};
 use cassiahoist_world::runs::RunState;
 use cassiahoist_world::spec::StepSpec;
-use cassiahoist_world::store::{StoreCall, StoreFailure, StorePurpose};
+use cassiahoist_world::store::StoreFailure;
 use cassiahoist_world::unsent::UnsentCause;
 
 use crate::support::{TestDaemon, step, task_name};
@@ -105,16 +105,13 @@
 fn store_call_that_the_daemon_could_not_send_says_nothing_about_the_store() {
     let mut holder = TestDaemon::with_hosts(1);
     holder.tick(100);
-    let renewal = |holder: &TestDaemon| -> StoreCall {
-        holder.store_calls().find(|call| call.purpose == StorePurpose::RenewLease).cloned().unwrap()
-    };
-    let call = renewal(&holder);
+    let call = holder.lease_renewal();
     holder.answer_store(call, Err(StoreFailure::NotSent(UnsentCause::LocalResources)));
     assert!(logged_fields(&holder, EventId::StoreUnreachable).is_empty());
     assert!(!holder.app.world().store_connection.is_failing());
     assert_eq!(holder.app.world().counters.store_calls_unsent, 1);
     holder.tick(150);
-    let call = renewal(&holder);
+    let call = holder.lease_renewal();
     holder.answer_store(call, Err(StoreFailure::NotSent(UnsentCause::ConnectTimeout)));
     assert_eq!(logged_fields(&holder, EventId::StoreUnreachable).len(), 1);
     assert!(holder.app.world().store_connection.is_failing());
