Log which runs end with their host, and which are detached from it

Nothing tied the loss of a host to the runs that had just started there, and nothing said why a lost task started again at once while others waited. No logic is changed.

--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -128,6 +128,8 @@
     611 AdviceFailed Info Work "A call for advice failed or timed out.";
     612 FillerPaceChanged Info Work "The processor share of fillers on a host changed.";
     613 ProgressConflict Warning Work "A progress record's revision differs from the one that this holder knows.";
+    614 RunLostWithHost Info Work "A run ended with its host, which crashed, was replaced or left its lease unrenewed.";
+    615 RunDetached Info Work "A task may start elsewhere although its run may still exist, since its step allows copies.";
     620 StartRelayDropped Info Daemon "A peer left start orders, or the request to relay them, without a reply, or declined orders.";
     700 ConfigInForce Info Daemon "A new configuration is in force.";
     701 ConfigRejected Error Daemon "A configuration is unreadable; the previous one stays in force.";
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -92,7 +92,7 @@
         .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
         .with("lease_ended_ms_ago", now_ms.saturating_sub(host.lease_end_ms));
     world.log(log_record);
-    expire_runs(world, runs, now_ms);
+    expire_runs(world, runs, "its lease expired", now_ms);
 }
 
 /// Resets the row of a restarted host and ends its earlier runs.
@@ -126,7 +126,7 @@
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
     world.log(log_record.with("cause", cause));
-    expire_runs(world, runs, now_ms);
+    expire_runs(world, runs, cause, now_ms);
 }
 
 /// Removes a host whose address now belongs to another host.
@@ -139,7 +139,7 @@
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
     world.log(log_record.with("cause", cause));
     world.store_writes.roster_stale |= host_in_roster(world, key);
-    expire_runs(world, runs, now_ms);
+    expire_runs(world, runs, cause, now_ms);
     world.hosts.remove(key);
 }
 
@@ -147,12 +147,29 @@
     world.hosts.get(key).is_some_and(|host| host.in_roster)
 }
 
-fn expire_runs(world: &mut World, runs: Vec<RunKey>, now_ms: u64) {
+fn expire_runs(world: &mut World, runs: Vec<RunKey>, cause: &str, now_ms: u64) {
     for run in runs {
+        log_lost_run(world, run, cause, now_ms);
         end_run(world, run, RunEnding::Lapsed, &Arc::from(""), now_ms);
     }
 }
 
+/// Logs which run was lost with its host, and how long the host was seen alive after its start.
+fn log_lost_run(world: &mut World, key: RunKey, cause: &str, now_ms: u64) {
+    let Some(run) = world.runs.rows.get(key) else { return };
+    let Some(host) = world.hosts.get(run.host) else { return };
+    let log_record = LogRecord::new(EventId::RunLostWithHost)
+        .with("task", run.name)
+        .with("run", run.run_number)
+        .with("host", &host.entry.name)
+        .with("cause", cause)
+        .with("state", format!("{:?}", run.state))
+        .with("started_ms_ago", now_ms.saturating_sub(run.start_sent_at_ms))
+        .with("answered_ms_after_start", host.last_answer_at_ms.saturating_sub(run.start_sent_at_ms))
+        .with("runs_on_host", host.runs.len());
+    world.log(log_record);
+}
+
 /// Returns whether tasks of inherited jobs, those accepted before this daemon's claim, may start.
 ///
 /// They may once no run of them can be unknown. That is when every polled host of the roster was adopted, or when the
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -89,13 +89,16 @@
 /// Only for steps that allow copies. The run keeps its row, so that its resources stay reserved and its place counts
 /// against the step's maximum per host.
 pub(crate) fn detach_run(world: &mut World, key: RunKey, now_ms: u64) {
-    let Some(run) = world.runs.rows.get(key) else { return };
+    let Some(run) = world.runs.rows.get(key).cloned() else { return };
     let task_key = run.task;
     let Some(task) = world.jobs.tasks.get_mut(task_key).filter(|task| task.state == TaskState::Placed(key))
     else {
         return;
     };
     task.detached_runs.push(key);
+    let log_record = LogRecord::new(EventId::RunDetached).with("task", run.name).with("run", run.run_number);
+    let host = world.hosts.get(run.host).map_or("", |host| host.entry.name.as_str());
+    world.log(log_record.with("host", host).with("started_ms_ago", now_ms - run.start_sent_at_ms));
     requeue_task(world, task_key, now_ms);
 }
 
