Show that nothing bounds a task that crashes its hosts

The stand-in hosts learn such tasks, crashes after which a host refuses connections and comes back, half of them under another name, and changes of their capacity while they run. The invariant CrashLimit counts starts after three crashes; a job that is given up needs a task that crashed two hosts.

--- a/crates/cassiahoist_standins/src/host.rs
+++ b/crates/cassiahoist_standins/src/host.rs
@@ -24,6 +24,14 @@
 /// Greatest number of ended runs in one reply.
 const MAX_ENDS_LISTED: usize = 500;
 
+/// Time from the start of a task that crashes its hosts to the end of the host's process, in milliseconds.
+const CRASH_DELAY_MS: u64 = 10;
+
+/// Time after which a host that shrank gets no starts beyond its capacity, in milliseconds.
+///
+/// It is the time in which the platform counts as settled, and a heartbeat.
+const RESIZE_GRACE_MS: u64 = 4_500;
+
 /// How a host misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum HostHealth {
@@ -75,6 +83,8 @@
     /// A start with that number or a lower one is refused.
     greatest_ended_runs: FxHashMap<String, u64>,
     last_advance_ms: u64,
+    /// Capacity before the latest change, and the time of that change in milliseconds.
+    earlier_capacity: (Resources, u64),
 }
 
 impl StandInHost {
@@ -95,20 +105,50 @@
             last_end: 0,
             greatest_ended_runs: FxHashMap::default(),
             last_advance_ms: now_ms,
+            earlier_capacity: (capacity, 0),
         }
     }
 
-    /// Restarts the host with a new incarnation.
-    ///
-    /// It loses all runs, the lease, the fencing token and any misbehaviour. Each lost run is recorded as
-    /// ended by `crash`.
-    pub fn restart(&mut self, unix_ms: u64, now_ms: u64, trace: &mut Trace) {
+    /// Returns whether a run ends the host's process now.
+    #[must_use]
+    pub fn is_crashing(&self, now_ms: u64) -> bool {
+        self.runs.values().any(|run| run.actual.crashes_hosts && now_ms >= run.started_ms + CRASH_DELAY_MS)
+    }
+
+    /// Ends all runs, since the process has ended. Each is recorded as ended by `crash`.
+    pub fn crash(&mut self, now_ms: u64, trace: &mut Trace) {
         for (task, run) in std::mem::take(&mut self.runs) {
             trace.record(
                 now_ms,
                 Observation::RunEnded { task, run: run.number, host: self.name.clone(), ending: "crash" },
             );
         }
+    }
+
+    /// Changes the host's capacity while it runs.
+    pub fn resize(&mut self, capacity: Resources, now_ms: u64) {
+        self.earlier_capacity = (self.capacity, now_ms);
+        self.capacity = capacity;
+    }
+
+    /// Returns the capacity that the runs must not exceed at a time.
+    ///
+    /// A scheduler learns of less capacity some time after it shrank.
+    fn allowed_capacity(&self, now_ms: u64) -> Resources {
+        let (earlier, changed_ms) = self.earlier_capacity;
+        if now_ms < changed_ms + RESIZE_GRACE_MS {
+            self.capacity.component_max(&earlier)
+        } else {
+            self.capacity
+        }
+    }
+
+    /// Restarts the host with a new incarnation.
+    ///
+    /// It loses all runs, the lease, the fencing token and any misbehaviour. Each lost run is recorded as
+    /// ended by `crash`.
+    pub fn restart(&mut self, unix_ms: u64, now_ms: u64, trace: &mut Trace) {
+        self.crash(now_ms, trace);
         *self = Self::new(self.name.clone(), self.capacity, &self.rack, unix_ms, now_ms);
     }
 
@@ -342,7 +382,7 @@
                 host: self.name.clone(),
                 host_started_unix_ms: self.started_unix_ms,
                 total_reserved: self.total_reserved(),
-                capacity: self.capacity,
+                capacity: self.allowed_capacity(now_ms),
             },
         );
         answer(200, "")
--- a/crates/cassiahoist_standins/src/invariants.rs
+++ b/crates/cassiahoist_standins/src/invariants.rs
@@ -29,6 +29,8 @@
     PlacementConstraints,
     /// A task that has used up its attempts doesn't start again.
     AttemptLimit,
+    /// A task that crashes its hosts is hardly started any more after three of them have crashed.
+    CrashLimit,
     /// All members of a gang start together.
     GangStart,
     /// No task runs without a submitted job, and none starts long after its cancellation.
--- a/crates/cassiahoist_standins/src/invariants/jobs.rs
+++ b/crates/cassiahoist_standins/src/invariants/jobs.rs
@@ -13,6 +13,15 @@
 /// Time after a recorded end during which a copy of the task may still start, in milliseconds.
 const COPY_GRACE_MS: u64 = 1_000;
 
+/// Number of hosts that have to crash under a task before its job may be given up.
+const MIN_CRASHES: u32 = 2;
+
+/// Number of crashes of hosts under a task after which its starts are counted.
+const MAX_CRASHES: u32 = 3;
+
+/// Number of starts of a task, after so many crashes, that is too great.
+const MAX_STARTS_AFTER_CRASHES: u32 = 3;
+
 /// State of jobs and tasks as callers and hosts observed it.
 #[derive(Debug, Default)]
 pub(super) struct JobCheck {
@@ -43,6 +52,8 @@
     refused: FxHashSet<JobId>,
     started: FxHashSet<JobId>,
     completed: FxHashSet<JobId>,
+    /// Hosts that crashed under a task that crashes its hosts, and starts of the task after the limit, by task.
+    crashes: FxHashMap<String, (u32, u32)>,
     violations: Vec<Violation>,
 }
 
@@ -110,7 +121,7 @@
                 self.check_start(at_ms, task, *run, host, ground_truth);
             }
             Observation::RunEnded { task, run, host, ending } => {
-                self.check_end(at_ms, task, *run, host, ending);
+                self.check_end(at_ms, task, *run, host, ending, ground_truth);
             }
             Observation::EndsRecorded { host, host_started_unix_ms, recorded_up_to } => {
                 self.record_ends(at_ms, host, *host_started_unix_ms, *recorded_up_to);
@@ -129,6 +140,7 @@
         let Ok(name) = task.parse::<TaskName>() else { return };
         let job = name.step.job;
         self.started.insert(job);
+        self.check_crashes(at_ms, task, host);
         let allows_copies = ground_truth.allows_copies(&name);
         let concurrent_runs = self.running.entry(task.into()).or_default();
         if !concurrent_runs.is_empty() && !allows_copies {
@@ -190,11 +202,35 @@
         }
     }
 
-    fn check_end(&mut self, at_ms: u64, task: &str, run: u64, host: &HostName, ending: &'static str) {
+    /// Counts a start after too many crashes of hosts under the task.
+    fn check_crashes(&mut self, at_ms: u64, task: &str, host: &HostName) {
+        let Some((crashes, starts)) = self.crashes.get_mut(task) else { return };
+        if *crashes < MAX_CRASHES {
+            return;
+        }
+        *starts += 1;
+        if *starts >= MAX_STARTS_AFTER_CRASHES {
+            let detail = format!("{task} started on {host} after {crashes} hosts had crashed under it");
+            self.report(Invariant::CrashLimit, at_ms, detail);
+        }
+    }
+
+    fn check_end(
+        &mut self,
+        at_ms: u64,
+        task: &str,
+        run: u64,
+        host: &HostName,
+        ending: &'static str,
+        ground_truth: &GroundTruth,
+    ) {
         if let Some(running) = self.running.get_mut(task) {
             running.remove(&(host.clone(), run));
         }
         if ending == "crash" {
+            if ground_truth.find_task(task).is_some_and(|actual| actual.crashes_hosts) {
+                self.crashes.entry(task.into()).or_default().0 += 1;
+            }
             return;
         }
         let number = self.ends.entry(host.clone()).or_default();
@@ -258,7 +294,9 @@
                 }
             }
             "failed"
-                if submitted_job.can_complete() && !self.may_have_exhausted_attempts(job, ground_truth) =>
+                if !submitted_job.steps.iter().any(|step| step.task.fails)
+                    && !self.may_have_exhausted_attempts(job, ground_truth)
+                    && !self.has_crashed_hosts(job) =>
             {
                 self.report(
                     Invariant::JobCompletion,
@@ -277,6 +315,12 @@
         }
     }
 
+    /// Returns whether so many hosts have crashed under one of a job's tasks that the job may be given up.
+    fn has_crashed_hosts(&self, job: JobId) -> bool {
+        let prefix = format!("{job}.");
+        self.crashes.iter().any(|(task, (crashes, _))| task.starts_with(&prefix) && *crashes >= MIN_CRASHES)
+    }
+
     /// Returns whether a task or gang may have used up its attempts.
     fn may_have_exhausted_attempts(&self, job: JobId, ground_truth: &GroundTruth) -> bool {
         let Some(submitted_job) = ground_truth.jobs.get(&job) else { return false };
--- a/crates/cassiahoist_standins/src/platform.rs
+++ b/crates/cassiahoist_standins/src/platform.rs
@@ -27,6 +27,10 @@
     pub late_orders: Option<LateOrders>,
     /// Time at which it writes its entry after a restart, in milliseconds; `None` if none is due.
     pub entry_due_ms: Option<u64>,
+    /// Time at which its crashed process starts again, in milliseconds; `None` while it runs.
+    ///
+    /// Until then connections are refused.
+    pub starts_at_ms: Option<u64>,
 }
 
 /// Orders to one host that take effect late, without an answer.
@@ -53,8 +57,13 @@
     pub trace: Trace,
     /// Every configuration version written, in order of writing; may decrease.
     pub config_versions: Vec<u64>,
+    /// Addresses of the hosts that have crashed since they were last taken.
+    crashed_hosts: Vec<String>,
 }
 
+/// Time for which a host is down after a task has crashed it, in milliseconds.
+const DEADLY_DOWN_MS: u64 = 3_300;
+
 /// Wall clock at simulation time 0, in milliseconds since the epoch.
 pub const TIME_ZERO_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -78,6 +87,7 @@
                     draining: false,
                     late_orders: None,
                     entry_due_ms: None,
+                    starts_at_ms: None,
                 })
             })
             .collect();
@@ -89,6 +99,7 @@
             ground_truth,
             trace: Trace::default(),
             config_versions: Vec::new(),
+            crashed_hosts: Vec::new(),
         };
         platform.write_config(1, now_ms);
         for number in 0..platform.registered_hosts.len() {
@@ -162,6 +173,7 @@
     /// Advances the store and all hosts to a time.
     pub fn advance(&mut self, now_ms: u64) {
         self.store.advance(now_ms);
+        self.start_crashed_hosts(now_ms);
         self.write_due_entries(now_ms);
         let first_observation = self.trace.observations.len();
         let members = self.gang_members();
@@ -179,9 +191,45 @@
         for registered in &mut self.registered_hosts {
             registered.host.advance(now_ms, &is_gang_complete, &mut self.trace);
         }
+        for number in 0..self.registered_hosts.len() {
+            if self.registered_hosts[number].host.is_crashing(now_ms) {
+                self.crash_host(number, DEADLY_DOWN_MS, now_ms);
+            }
+        }
         self.break_gangs(first_observation, now_ms);
     }
 
+    /// Ends the process of a host, which starts again after a time. Meanwhile it refuses connections.
+    pub fn crash_host(&mut self, number: usize, down_ms: u64, now_ms: u64) {
+        let registered = &mut self.registered_hosts[number];
+        registered.host.crash(now_ms, &mut self.trace);
+        registered.starts_at_ms = Some(now_ms + down_ms);
+        self.crashed_hosts.push(registered.address.clone());
+    }
+
+    /// Takes the addresses of the hosts that have crashed since the last call.
+    pub fn take_crashed_hosts(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.crashed_hosts)
+    }
+
+    /// Starts the processes of crashed hosts that are due. Those with an odd number come back under another name.
+    fn start_crashed_hosts(&mut self, now_ms: u64) {
+        for number in 0..self.registered_hosts.len() {
+            let registered = &mut self.registered_hosts[number];
+            if registered.starts_at_ms.take_if(|at_ms| now_ms >= *at_ms).is_none() {
+                continue;
+            }
+            registered.host.restart(TIME_ZERO_UNIX_MS + now_ms, now_ms, &mut self.trace);
+            registered.entry_due_ms = Some(now_ms);
+            if number % 2 == 1
+                && let Ok(name) = HostName::new(&format!("i-{number:04x}-{now_ms}"))
+            {
+                let earlier_name = std::mem::replace(&mut registered.host.name, name);
+                self.store.remove(&format!("servers/{earlier_name}"));
+            }
+        }
+    }
+
     /// Counts the running gang members by step name and run number.
     fn gang_members(&self) -> FxHashMap<(String, u64), usize> {
         let mut counts = FxHashMap::default();
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -10,6 +10,7 @@
 pub mod connections;
 mod crowded;
 mod daemon;
+mod deadly;
 mod faults;
 mod full_link;
 mod link;
@@ -79,6 +80,34 @@
     pub bursts: Vec<Burst>,
     /// Greatest length that the arguments of jobs have beside their names, in bytes.
     pub max_argument_bytes: usize,
+    /// Jobs with a task that crashes its hosts; `None` for no such jobs.
+    pub deadly_jobs: Option<DeadlyJobs>,
+}
+
+/// Jobs of which one task ends the process of each host that starts it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DeadlyJobs {
+    /// Share of the submitted jobs, from 0 to 1.
+    pub share: f64,
+    /// Time during which they are submitted, in milliseconds.
+    pub span_ms: Span,
+}
+
+/// Span of simulated time, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// First millisecond.
+    pub from_ms: u64,
+    /// First millisecond after it.
+    pub until_ms: u64,
+}
+
+impl Span {
+    /// Returns whether a time lies within the span.
+    #[must_use]
+    pub fn contains(self, at_ms: u64) -> bool {
+        (self.from_ms..self.until_ms).contains(&at_ms)
+    }
 }
 
 impl Default for Scenario {
@@ -95,6 +124,7 @@
             start_spread_ms: 0,
             bursts: Vec::new(),
             max_argument_bytes: 0,
+            deadly_jobs: None,
         }
     }
 }
@@ -217,6 +247,9 @@
         self.now_ms += ROUND_MS;
         self.inject_due_faults();
         self.platform.advance(self.now_ms);
+        for address in self.platform.take_crashed_hosts() {
+            self.fail_host_calls(&address);
+        }
         self.send_caller_requests();
         self.deliver_due_messages();
         self.answer_pending_calls();
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -10,7 +10,7 @@
 
 use super::{ROUND_MS, Simulation, TRAFFIC_START_MS};
 use crate::trace::Observation;
-use crate::workload::{Job, QUEUE_HOST, QUEUE_PATHS, Workload, draw_job, version_queue_path};
+use crate::workload::{Job, QUEUE_HOST, QUEUE_PATHS, Workload, draw_job, make_deadly, version_queue_path};
 
 /// Time that callers wait for an answer, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 3_000;
@@ -174,7 +174,11 @@
     }
 
     fn draw_job(&mut self) {
-        let job = draw_job(&mut self.rng, self.scenario.workload, self.scenario.max_argument_bytes);
+        let mut job = draw_job(&mut self.rng, self.scenario.workload, self.scenario.max_argument_bytes);
+        let deadly = self.scenario.deadly_jobs.filter(|deadly| deadly.span_ms.contains(self.now_ms));
+        if deadly.is_some_and(|deadly| self.rng.random_bool(deadly.share)) {
+            make_deadly(&mut self.rng, &mut job);
+        }
         let cancelled = job.runs_until_cancelled() || self.rng.random_bool(0.08);
         let cancel_at_ms = cancelled.then(|| {
             self.now_ms + self.rng.random_range(300..if job.runs_until_cancelled() { 15_000 } else { 3_000 })
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -12,6 +12,7 @@
 use cassiahoist_world::unsent::UnsentCause;
 use http_body_util::BodyExt;
 use rand::Rng;
+use serde_json::Value;
 
 use super::call_connections::CallConnection;
 use super::{Message, Simulation};
@@ -184,6 +185,12 @@
             let outcome = OrderOutcome::NotSent(UnsentCause::ConnectTimeout);
             return self.fail_connected_order(open_call, outcome, report_at_ms);
         }
+        let refuses =
+            host_index.is_some_and(|number| self.platform.registered_hosts[number].starts_at_ms.is_some());
+        if refuses {
+            let (outcome, now_ms) = (OrderOutcome::NotSent(UnsentCause::ConnectFailed), self.now_ms);
+            return self.fail_connected_order(open_call, outcome, now_ms);
+        }
         let late_orders = host_index.and_then(|number| self.platform.registered_hosts[number].late_orders);
         let late_ms = match late_orders.filter(|late| self.now_ms < late.until_ms) {
             Some(late) => {
@@ -240,7 +247,11 @@
 
     /// Records an order that its host did not answer.
     fn record_order_outcome(&mut self, host_name: &HostName, outcome: &OrderOutcome) {
-        if matches!(outcome, OrderOutcome::Unknown | OrderOutcome::NotSent(UnsentCause::ConnectTimeout)) {
+        if matches!(
+            outcome,
+            OrderOutcome::Unknown
+                | OrderOutcome::NotSent(UnsentCause::ConnectTimeout | UnsentCause::ConnectFailed)
+        ) {
             self.platform.trace.record(self.now_ms, Observation::OrderUnanswered { host: host_name.clone() });
         }
     }
@@ -396,7 +407,13 @@
         {
             platform.record_order(order, call.daemon, call.daemon_started_unix_ms, now_ms);
         }
+        let is_for_other_host = |order: &HostOrder| {
+            let host =
+                platform.find_host(&order.address).map(|number| &platform.registered_hosts[number].host);
+            host.is_some_and(|host| host.name != order.host_name)
+        };
         let outcome = match &call.target {
+            Target::Host(order) if is_for_other_host(order) => CallOutcome::Reply(421, Value::Null),
             Target::Store(_) => platform.store.call(method, target, body, arrived_ms, now_ms),
             Target::Host(order) => match platform.find_host(&order.address) {
                 Some(host_index) => platform.registered_hosts[host_index].host.call(
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -1,5 +1,6 @@
 //! Faults, their injection and the record of when they were active.
 
+use cassiahoist_core::prelude::*;
 use cassiahoist_world::event::Event;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -66,6 +67,10 @@
     CompactHistory,
     /// Restarts a host, which loses its runs.
     RestartHost(usize),
+    /// Crashes a host, which refuses connections for a time and is back then.
+    CrashHost(usize, u64),
+    /// Changes a host's capacity while it runs: its processors, in thousandths of a core.
+    ResizeHost(usize, u64),
     /// Restarts a host, whose entry follows after a time.
     RestartHostUnannounced(usize, u64),
     /// Makes a host unreachable for a time.
@@ -116,6 +121,7 @@
             | Fault::PauseDaemon(_, for_ms)
             | Fault::CutDaemonFromPeers(_, for_ms)
             | Fault::CutHolderFromStore(for_ms)
+            | Fault::CrashHost(_, for_ms)
             | Fault::RestartHostUnannounced(_, for_ms)
             | Fault::SlowHolderLink(for_ms, _)
             | Fault::CutDaemonFromStore(_, for_ms)
@@ -130,7 +136,7 @@
                 self.store_faulty_since_ms.get_or_insert(now_ms);
                 return;
             }
-            Fault::DrainHost(_) | Fault::DeregisterHost(_) => return,
+            Fault::DrainHost(_) | Fault::DeregisterHost(_) | Fault::ResizeHost(..) => return,
             _ => 0,
         };
         self.active_spans.push((now_ms, now_ms + for_ms));
@@ -228,6 +234,15 @@
             Fault::UnreadableRoster => self.platform.store.put("hoist/hosts/0", "bm8ganNvbg==".into()),
             Fault::DeregisterHost(host) => self.platform.deregister_host(host % hosts, now_ms),
             Fault::RestartHost(host) => self.restart_host(host % hosts, 0),
+            Fault::CrashHost(host, down_ms) => {
+                self.platform.crash_host(host % hosts, down_ms, now_ms);
+            }
+            Fault::ResizeHost(host, cpu_milli) => {
+                let registered = &mut self.platform.registered_hosts[host % hosts];
+                let capacity = Resources { cpu_milli, ..registered.host.capacity };
+                registered.host.resize(capacity, now_ms);
+                self.platform.write_host_entry(host % hosts, now_ms);
+            }
             Fault::RestartHostUnannounced(host, entry_delay_ms) => {
                 self.restart_host(host % hosts, entry_delay_ms);
             }
@@ -250,6 +265,7 @@
 impl Simulation {
     fn restart_host(&mut self, host: usize, entry_delay_ms: u64) {
         let (platform, now_ms) = (&mut self.platform, self.now_ms);
+        platform.registered_hosts[host].starts_at_ms = None;
         platform.registered_hosts[host].host.restart(TIME_ZERO_UNIX_MS + now_ms, now_ms, &mut platform.trace);
         platform.registered_hosts[host].entry_due_ms = Some(now_ms + entry_delay_ms);
         platform.write_due_entries(now_ms);
--- a/crates/cassiahoist_standins/src/workload.rs
+++ b/crates/cassiahoist_standins/src/workload.rs
@@ -21,6 +21,8 @@
     pub checkpoints: bool,
     /// Whether it runs until its job is cancelled.
     pub runs_until_cancelled: bool,
+    /// Whether it ends the process of each host that starts it.
+    pub crashes_hosts: bool,
 }
 
 /// Actual behaviour of one step.
@@ -42,6 +44,8 @@
     pub disruption_budget: Option<u32>,
     /// Whether several runs of one of its tasks may exist at a time.
     pub allows_copies: bool,
+    /// Index of the task that ends the process of each host that starts it; `None` if there is none.
+    pub deadly_task: Option<u32>,
 }
 
 /// A job as submitted by its caller.
@@ -58,10 +62,10 @@
 }
 
 impl Job {
-    /// Returns whether the job can complete, that is, none of its tasks always fails.
+    /// Returns whether the job can complete, that is, none of its tasks always fails or crashes its hosts.
     #[must_use]
     pub fn can_complete(&self) -> bool {
-        self.steps.iter().all(|step| !step.task.fails)
+        self.steps.iter().all(|step| !step.task.fails && step.deadly_task.is_none())
     }
 
     /// Returns whether the job runs until it is cancelled.
@@ -86,7 +90,8 @@
     pub fn find_task(&self, task: &str) -> Option<ActualTask> {
         let name: TaskName = task.parse().ok()?;
         let step = self.jobs.get(&name.step.job)?.steps.get(usize::from(name.step.index))?;
-        (name.index < step.tasks).then_some(step.task)
+        let crashes_hosts = step.deadly_task == Some(name.index);
+        (name.index < step.tasks).then_some(ActualTask { crashes_hosts, ..step.task })
     }
 
     /// Returns whether a task may have several runs at a time.
@@ -231,6 +236,7 @@
         gang,
         checkpoints: queue == 1 && rng.random_bool(0.7),
         runs_until_cancelled: queue == 2,
+        crashes_hosts: false,
     };
     let after = if number > 0 && rng.random_bool(0.8) { vec![number - 1] } else { Vec::new() };
     ActualStep {
@@ -241,9 +247,17 @@
         max_per_host: None,
         disruption_budget: None,
         allows_copies: false,
+        deadly_task: None,
     }
 }
 
+/// Makes one task of a job, in a step drawn at random, crash each host that starts it.
+pub fn make_deadly(rng: &mut SmallRng, job: &mut Job) {
+    let step = rng.random_range(0..job.steps.len());
+    let step = &mut job.steps[step];
+    step.deadly_task = Some(rng.random_range(0..step.tasks));
+}
+
 /// Draws the label, limit per host and disruption budget of a step.
 fn draw_constraints(rng: &mut SmallRng, queue: usize, step: &mut ActualStep) {
     if queue == BATCH_QUEUE && !step.task.gang && rng.random_bool(0.3) {
--- a/crates/cassiahoist_standins/tests/invariants.rs
+++ b/crates/cassiahoist_standins/tests/invariants.rs
@@ -32,11 +32,13 @@
             gang: false,
             checkpoints: false,
             runs_until_cancelled: true,
+            crashes_hosts: false,
         },
         required_label: None,
         max_per_host: None,
         disruption_budget: None,
         allows_copies: false,
+        deadly_task: None,
     }
 }
 
@@ -318,3 +320,31 @@
     ];
     assert_eq!(violated(step(1), other_host), [Invariant::HostReachability]);
 }
+
+/// Observes the starts of a task under each of which a host crashes.
+fn crashing_runs(starts: u64) -> Vec<(u64, Observation)> {
+    let runs = (0..starts).flat_map(|number| {
+        let at_ms = 1_000 + number * 100;
+        [(at_ms, started(0, number)), (at_ms + 10, ended(0, number, "crash"))]
+    });
+    runs.collect()
+}
+
+/// A task that crashes its hosts may start twice after three of them have crashed, and no more.
+#[test]
+fn third_start_after_three_crashes_violates_the_crash_limit() {
+    let deadly = ActualStep { deadly_task: Some(0), ..step(2) };
+    assert_eq!(violated(deadly.clone(), crashing_runs(5)), []);
+    assert_eq!(violated(deadly, crashing_runs(6)), [Invariant::CrashLimit]);
+}
+
+/// Crashes of hosts are a reason to give up a job only if one of its tasks caused them.
+#[test]
+fn job_given_up_beside_crashes_of_others_is_a_violation() {
+    let given_up = Observation::StateAnswered { job: JOB, status: 200, state: "failed".into() };
+    let mut observations = crashing_runs(2);
+    observations.push((2_000, given_up));
+    let deadly = ActualStep { deadly_task: Some(0), ..step(2) };
+    assert_eq!(violated(deadly, observations.clone()), []);
+    assert_eq!(violated(step(2), observations), [Invariant::JobCompletion]);
+}
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -561,6 +561,24 @@
     }
 }
 
+/// Plays days on which tasks of some jobs crash each host that starts them.
+fn run_deadly_days(seeds: std::ops::RangeInclusive<u64>) {
+    for seed in seeds {
+        let scenario = Scenario::deadly(seed);
+        let faults = scenario.faults.clone();
+        let mut sim = Simulation::new(seed, scenario);
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}, {faults:?}: {}", violations[0]);
+        assert_eq!(sim.callers.open_jobs(), 0, "seed {seed}, {faults:?}: some accepted jobs haven't ended");
+    }
+}
+
+/// Tasks crash host after host, beside crashes of racks, changes of the holder, a silent store and hosts that shrink.
+#[test]
+fn task_that_crashes_its_hosts_is_given_up_and_no_other() {
+    run_deadly_days(1..=24);
+}
+
 /// Counts the start orders that holders gave to other daemons.
 fn count_relayed_starts(sim: &Simulation) -> usize {
     let observations = sim.platform.trace.observations.iter();
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -31,6 +31,8 @@
     Narrow,
     /// Restarts, late orders, silence and changes of the holder that overlap.
     Misfortunes,
+    /// Tasks that crash their hosts, beside crashes of racks and changes of the holder.
+    Deadly,
 }
 
 impl Day {
@@ -41,6 +43,7 @@
             Self::FullLink => Scenario::full_link(seed),
             Self::Narrow => Scenario::narrow(seed),
             Self::Misfortunes => Scenario::misfortunes(seed),
+            Self::Deadly => Scenario::deadly(seed),
         }
     }
 }
@@ -58,6 +61,7 @@
     full_link: bool,
     narrow: bool,
     misfortunes: bool,
+    deadly: bool,
 }
 
 impl Args {
@@ -71,6 +75,8 @@
             Day::Narrow
         } else if self.misfortunes {
             Day::Misfortunes
+        } else if self.deadly {
+            Day::Deadly
         } else if self.varied {
             Day::Seeded(Workload::Varied)
         } else if self.copies {
@@ -121,6 +127,7 @@
     let misfortunes = long("misfortunes")
         .help("With --seed: plays restarts, late orders, silence and changes of the holder that overlap")
         .switch();
+    let deadly = long("deadly").help("With --seed: plays tasks that crash their hosts").switch();
     let full_link = long("full-link")
         .help(
             "With --seed: plays start orders that fill all links, and faults of the daemons that relay them",
@@ -137,7 +144,8 @@
         crowded,
         full_link,
         narrow,
-        misfortunes
+        misfortunes,
+        deadly
     })
     .to_options()
     .descr("Runs seeded simulations with faults")
