--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -130,6 +130,8 @@
     613 ProgressConflict Warning Work "A progress record's revision differs from the one that this holder knows.";
     614 RunLostWithHost Info Work "A run ended with its host, which crashed, was replaced or left its lease unrenewed.";
     615 RunDetached Info Work "A task may start elsewhere although its run may still exist, since its step allows copies.";
+    616 TaskSuspected Info Work "A host was lost under a run, and its task may be the cause.";
+    617 SuspicionEnded Info Work "A task that was suspected of crashing its hosts is cleared.";
     620 StartRelayDropped Info Daemon "A peer left start orders, or the request to relay them, without a reply, or declined orders.";
     700 ConfigInForce Info Daemon "A new configuration is in force.";
     701 ConfigRejected Error Daemon "A configuration is unreadable; the previous one stays in force.";
--- a/crates/cassiahoist_daemon/src/table_metrics.rs
+++ b/crates/cassiahoist_daemon/src/table_metrics.rs
@@ -22,7 +22,7 @@
     histograms: Vec<(Vec<Arc<AtomicU64>>, ReadHistogram)>,
 }
 
-const COUNTERS: [(&str, &str, ReadValue); 43] = [
+const COUNTERS: [(&str, &str, ReadValue); 45] = [
     ("cassiahoist_calls", "Calls received from callers", |w| w.counters.calls),
     ("cassiahoist_calls_refused", "Calls answered with an error", |w| w.counters.refused),
     ("cassiahoist_jobs_accepted", "Jobs stored", |w| w.counters.jobs_accepted),
@@ -51,6 +51,12 @@
     ("cassiahoist_tick_us", "Time that ticks took, in microseconds", |w| w.counters.tick_us),
     ("cassiahoist_claims", "Times that this daemon won the claim on the slice", |w| w.counters.claims),
     ("cassiahoist_events", "Messages that the control thread received", |w| w.counters.events),
+    ("cassiahoist_crashes_recorded", "Crashes of hosts recorded for a task that may be the cause", |w| {
+        w.counters.crashes_recorded
+    }),
+    ("cassiahoist_jobs_crashing", "Jobs failed since hosts crashed repeatedly under a task", |w| {
+        w.counters.jobs_crashing
+    }),
     ("cassiahoist_starts_unanswered", "Start orders without an answer", |w| w.counters.starts_unanswered),
     ("cassiahoist_log_lines_dropped", "Log lines that were dropped", |w| w.counters.log_lines_dropped),
     ("cassiahoist_store_calls_failed", "Calls to the store that were sent and failed", |w| {
--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -1,7 +1,10 @@
 //! Writes the host roster: the hosts that may run work, for the next holder.
 
+use std::collections::BTreeSet;
+
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::SLICE;
+use cassiahoist_world::hosts::{Adoption, Host, HostKey};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::{HostRoster, RosterHost};
 use cassiahoist_world::store::{StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue, Transaction};
@@ -17,6 +20,12 @@
 /// Each write holds the whole roster. A host that stays in it a little longer delays only the start of the next holder.
 const REMOVAL_INTERVAL_MS: u64 = 1_000;
 
+/// Shortest time between two writes that list silent hosts, in milliseconds.
+const MIN_SILENCE_INTERVAL_MS: u64 = 100;
+
+/// The same for each engaged host, since each write holds the whole roster, in milliseconds.
+const SILENCE_INTERVAL_MS_PER_HOST: u64 = 1;
+
 /// Writes the host roster if it is stale or lacks hosts that accept work.
 ///
 /// A host gets its first start order only once it is in the roster, so that no later holder overlooks it.
@@ -35,16 +44,23 @@
     }
     let is_incomplete =
         world.hosts.iter_engaged().any(|(_, host)| !host.in_roster && host.accepts_new_runs(now_ms));
-    if !is_incomplete && !world.store_writes.roster_stale {
+    let has_silent_hosts = world.hosts.iter_engaged().any(|(_, host)| is_newly_silent(host));
+    if !is_incomplete && !has_silent_hosts && !world.store_writes.roster_stale {
         return;
     }
-    let removal_at_ms = if is_incomplete { 0 } else { world.store_writes.next_roster_removal_at_ms };
+    let removal_at_ms = match (is_incomplete, has_silent_hosts) {
+        (true, _) => 0,
+        (false, true) => world.store_writes.next_roster_silence_at_ms,
+        (false, false) => world.store_writes.next_roster_removal_at_ms,
+    };
     let due_at_ms = world.store_writes.next_roster_write_at_ms.max(removal_at_ms);
     if now_ms < due_at_ms {
         return world.wake_by(due_at_ms);
     }
     world.store_writes.next_roster_removal_at_ms = now_ms + REMOVAL_INTERVAL_MS;
+    world.store_writes.next_roster_silence_at_ms = now_ms + silence_interval_ms(world);
     world.store_writes.roster_stale = false;
+    list_silent_hosts(world);
     let hosts = world
         .hosts
         .iter_engaged()
@@ -53,6 +69,7 @@
             name: host.entry.name.clone(),
             address: host.entry.address.clone(),
             started_unix_ms: host.entry.started_unix_ms,
+            silent_jobs: host.silent_jobs.clone(),
         })
         .collect();
     world.store_writes.roster_in_flight = true;
@@ -66,6 +83,33 @@
     world.call_store(StorePurpose::WriteRoster, StoreOp::Commit(transaction), now_ms, WRITE_TIMEOUT_MS);
 }
 
+/// Returns the shortest time between two writes that list silent hosts, in milliseconds.
+fn silence_interval_ms(world: &World) -> u64 {
+    (world.hosts.iter_engaged().count() as u64 * SILENCE_INTERVAL_MS_PER_HOST).max(MIN_SILENCE_INTERVAL_MS)
+}
+
+/// Returns whether a host refuses connections and the roster does not list it as silent.
+fn is_newly_silent(host: &Host) -> bool {
+    host.refuses_connections
+        && host.in_roster
+        && host.adoption == Adoption::Adopted
+        && host.silent_jobs.is_none()
+}
+
+/// Notes which jobs may have runs on the hosts that refuse connections.
+///
+/// They get no orders until the roster was written again, so that no other jobs can.
+fn list_silent_hosts(world: &mut World) {
+    let silent = world.hosts.iter_engaged().filter(|(_, host)| is_newly_silent(host));
+    let silent: Vec<HostKey> = silent.map(|(key, _)| key).collect();
+    for key in silent {
+        let Some(host) = world.hosts.get_mut(key) else { continue };
+        let runs = host.runs.iter().filter_map(|run| world.runs.rows.get(*run)).map(|run| run.name.step.job);
+        let jobs: BTreeSet<JobId> = runs.chain(host.orphans.steps.iter().map(|step| step.job)).collect();
+        host.silent_jobs = Some(jobs.into_iter().collect());
+    }
+}
+
 fn apply_write_answers(world: &mut World, now_ms: u64) {
     for completion in world.inbox.take_store_results(|purpose| *purpose == StorePurpose::WriteRoster) {
         world.store_writes.roster_in_flight = false;
--- a/crates/cassiahoist_jobs/src/job_rows.rs
+++ b/crates/cassiahoist_jobs/src/job_rows.rs
@@ -46,6 +46,7 @@
         progress_revision: revision,
         added_at_ms: now_ms,
         ended_unix_ms: progress.ended_unix_ms,
+        failure: progress.failure,
     });
     if progress.state.is_final() {
         return key;
@@ -97,17 +98,20 @@
         due_unix_ms,
         advice: StepAdvice::default(),
         gang_failed_runs: progress.map(|progress| progress.gang_failed_runs.clone()).unwrap_or_default(),
+        gang_crashes: progress.map(|progress| progress.gang_crashes.clone()).unwrap_or_default(),
         last_gang_run: first_run_number,
     });
     for index in 0..task_count {
         let is_done = progress.is_some_and(|progress| progress.is_done(index));
         let failed_runs = progress.and_then(|progress| progress.failed_runs.get(&index)).cloned();
+        let crashes = progress.and_then(|progress| progress.crashes.get(&index)).cloned();
         let checkpoint = progress.and_then(|progress| progress.checkpoints.get(&index)).cloned();
         let task_key = world.jobs.tasks.insert(Task {
             step: step_key,
             name: TaskName { step: name, index },
             state: if is_done { TaskState::Done } else { TaskState::Pending },
             failed_runs: failed_runs.unwrap_or_default(),
+            crashes: crashes.unwrap_or_default(),
             last_run_number: first_run_number,
             detached_runs: Vec::new(),
             checkpoint: checkpoint.unwrap_or_else(|| Arc::from("")),
@@ -136,14 +140,21 @@
 /// A completed job needs no progress of its steps, so none is written.
 #[must_use]
 pub(crate) fn build_progress_record(world: &World, job: &Job) -> ProgressRecord {
-    let mut record =
-        ProgressRecord { state: job.state, ended_unix_ms: job.ended_unix_ms, ..ProgressRecord::default() };
+    let mut record = ProgressRecord {
+        state: job.state,
+        ended_unix_ms: job.ended_unix_ms,
+        failure: job.failure.clone(),
+        ..ProgressRecord::default()
+    };
     if job.state == JobState::Completed {
         return record;
     }
     for step in job.steps.iter().filter_map(|key| world.jobs.steps.get(*key)) {
-        let mut progress =
-            StepProgress { gang_failed_runs: step.gang_failed_runs.clone(), ..StepProgress::default() };
+        let mut progress = StepProgress {
+            gang_failed_runs: step.gang_failed_runs.clone(),
+            gang_crashes: step.gang_crashes.clone(),
+            ..StepProgress::default()
+        };
         for task in step.tasks.iter().filter_map(|key| world.jobs.tasks.get(*key)) {
             if task.state == TaskState::Done {
                 progress.set_done(task.name.index);
@@ -152,6 +163,9 @@
             if !task.failed_runs.is_empty() {
                 progress.failed_runs.insert(task.name.index, task.failed_runs.clone());
             }
+            if !task.crashes.is_empty() {
+                progress.crashes.insert(task.name.index, task.crashes.clone());
+            }
             if !task.checkpoint.is_empty() {
                 progress.checkpoints.insert(task.name.index, Arc::clone(&task.checkpoint));
             }
--- a/crates/cassiahoist_jobs/src/progress.rs
+++ b/crates/cassiahoist_jobs/src/progress.rs
@@ -52,6 +52,7 @@
     }
     world.store_writes.next_flush_at_ms = now_ms + FLUSH_INTERVAL_MS;
     world.store_writes.ends_unrecorded = false;
+    world.store_writes.crashes_unrecorded = false;
     let unrecorded = world.hosts.iter_engaged().filter(|(_, host)| !host.unrecorded_ends.is_empty());
     let hosts: Vec<HostKey> = unrecorded.map(|(key, _)| key).collect();
     for key in &hosts {
@@ -72,7 +73,8 @@
 }
 
 fn extra_batch_delay_ms(world: &World) -> u64 {
-    match (has_unrecorded_final_state(world), world.runs.start_budget.is_heavily_used()) {
+    let is_urgent = world.store_writes.crashes_unrecorded || has_unrecorded_final_state(world);
+    match (is_urgent, world.runs.start_budget.is_heavily_used()) {
         (true, _) => 0,
         (false, true) => FULL_LINK_BATCH_DELAY_MS,
         (false, false) => EXTRA_BATCH_DELAY_MS,
--- a/crates/cassiahoist_membership/src/adoption.rs
+++ b/crates/cassiahoist_membership/src/adoption.rs
@@ -11,6 +11,7 @@
 use cassiahoist_world::store::{
     KeySpace, StoreCompletion, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply, StoreValue,
 };
+use rustc_hash::FxHashSet;
 
 use crate::claim::SLICE;
 use crate::follow::page_timeout_ms;
@@ -113,6 +114,7 @@
         && let Some(roster) = world.holding.loading.roster.take()
     {
         world.holding.loading.roster_loaded = true;
+        world.holding.loading.silent_jobs = silent_jobs(&roster);
         adopt_host_roster(world, &roster, now_ms);
     }
 }
@@ -127,6 +129,7 @@
         match known_key.and_then(|key| world.hosts.get_mut(key)) {
             Some(host) if host.entry.started_unix_ms == entry.started_unix_ms => {
                 host.in_roster = true;
+                host.silent_jobs.clone_from(&entry.silent_jobs);
             }
             // A later incarnation of the host runs nothing of the earlier one.
             Some(_) => {}
@@ -134,6 +137,7 @@
                 let mut host = Host::new(roster_only_entry(entry, &world.local.domain), now_ms);
                 host.missing_since_ms = Some(now_ms);
                 host.in_roster = true;
+                host.silent_jobs.clone_from(&entry.silent_jobs);
                 let key = world.hosts.insert(host);
                 world.hosts.engage(key);
             }
@@ -141,6 +145,11 @@
     }
 }
 
+/// Collects the jobs that may have runs on hosts that the earlier holder listed as silent.
+fn silent_jobs(roster: &HostRoster) -> FxHashSet<JobId> {
+    roster.hosts.iter().flat_map(|host| host.silent_jobs.iter().flatten()).copied().collect()
+}
+
 fn roster_only_entry(entry: &RosterHost, domain: &FailureDomain) -> HostEntry {
     HostEntry {
         name: entry.name.clone(),
--- a/crates/cassiahoist_placement/src/choose.rs
+++ b/crates/cassiahoist_placement/src/choose.rs
@@ -23,6 +23,8 @@
     pub would_interfere: bool,
     /// Failed runs on the host since a task last completed there.
     pub failures: u32,
+    /// What other jobs would lose if the task crashed the host; 0 if that isn't to be expected.
+    pub loss_cost: u32,
 }
 
 /// Chooses the candidate with the lowest penalty and returns what it is paired with.
@@ -36,7 +38,7 @@
 }
 
 /// Returns the sort key of a candidate; the lowest wins.
-fn penalty(candidate: &Candidate, packing: Packing) -> (bool, bool, bool, bool, u32, u64) {
+fn penalty(candidate: &Candidate, packing: Packing) -> (bool, bool, bool, bool, u32, u32, u64) {
     // Thousandths of the host's capacity, so that hosts of different sizes compare.
     let remaining = (candidate.remaining.dominant_share(&candidate.capacity) * 1_000.0) as u64;
     let packing_penalty = match packing {
@@ -49,6 +51,7 @@
         candidate.would_interfere,
         candidate.off_data_rack,
         candidate.failures,
+        candidate.loss_cost,
         packing_penalty,
     )
 }
--- a/crates/cassiahoist_placement/src/gang.rs
+++ b/crates/cassiahoist_placement/src/gang.rs
@@ -6,6 +6,7 @@
 use cassiahoist_world::prelude::*;
 use rustc_hash::FxHashMap;
 
+use crate::isolation::is_quiet;
 use crate::place::{SearchOutcome, remaining_queue_tasks, start_task, startable_hosts};
 use crate::requirements::{StepPolicy, StepRequirements};
 use crate::start_route::StartRoute;
@@ -58,6 +59,14 @@
     SearchOutcome::HasRoom
 }
 
+/// Returns whether a suspected gang has hosts at risk. Only one at a time may, as it may need many hosts.
+fn is_gang_at_risk(world: &World) -> bool {
+    let mut runs = world.runs.on_probation.iter().filter_map(|run| world.runs.rows.get(*run));
+    runs.any(|run| {
+        world.jobs.task_context(run.task).is_some_and(|(_, step, _)| step.gang_crashes.is_suspect())
+    })
+}
+
 /// Copies one member's checkpoint to all, since a gang resumes from a single one.
 ///
 /// The checkpoint of any member is valid for the others.
@@ -88,8 +97,13 @@
 ) -> Option<Vec<HostKey>> {
     let step = world.jobs.steps.get(key)?;
     let member_count = step.tasks.len();
+    let is_suspect = step.gang_crashes.is_suspect();
+    if is_suspect && is_gang_at_risk(world) {
+        return None;
+    }
     let mut candidates: Vec<(HostKey, u32, Option<std::sync::Arc<str>>, u32)> =
         startable_hosts(world, step, requirements, now_ms)
+            .filter(|(_, host)| !is_suspect || is_quiet(host, now_ms))
             .map(|(key, host)| {
                 (key, requirements.tasks_that_fit(host), host.rack().cloned(), host.standing.failures)
             })
--- a/crates/cassiahoist_placement/src/lib.rs
+++ b/crates/cassiahoist_placement/src/lib.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod choose;
 mod gang;
+mod isolation;
 mod place;
 mod requirements;
 mod room_bounds;
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -4,7 +4,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::Packing;
-use cassiahoist_runs::{may_start_inherited_jobs, reserve_run};
+use cassiahoist_runs::{InheritedStarts, decide_inherited_starts, reserve_run};
 use cassiahoist_world::advice::Ticket;
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::{Step, StepKey, Task, TaskKey, TaskState};
@@ -14,6 +14,7 @@
 
 use crate::choose::{Candidate, choose_candidate};
 use crate::gang::place_gang;
+use crate::isolation::Isolation;
 use crate::requirements::{StepPolicy, StepRequirements};
 use crate::room_bounds::{LeastNeed, RoomBounds};
 use crate::start_route::StartRoute;
@@ -26,6 +27,9 @@
 /// Where many hosts begin to fail at a time, most have failed nothing yet when a failed task runs again.
 const PROVEN_MS: u64 = 600;
 
+/// Cost of losing a run whose step allows no copies, as a multiple of that of another run.
+const SINGLE_RUN_COST: u32 = 4;
+
 /// Minimum time between rounds of placement, in milliseconds.
 ///
 /// An answer with advice starts a round at once.
@@ -59,11 +63,11 @@
 /// Places ready steps in their order until all were visited or no more start orders may be issued.
 fn place_ready_steps(world: &mut World, now_ms: u64) -> StartAdmission {
     let mut bounds = RoomBounds::collect(world, now_ms);
-    let may_start_inherited_jobs = may_start_inherited_jobs(world, now_ms);
+    let inherited_starts = decide_inherited_starts(world, now_ms);
     let ready_steps: Vec<StepKey> = world.jobs.ready.iter_placeable().collect();
     for step in ready_steps {
         world.counters.steps_visited += 1;
-        if may_place(world, step, may_start_inherited_jobs) {
+        if may_place(world, step, inherited_starts) {
             place_step_within(world, &mut bounds, step, now_ms);
             let admission = admit_starts(world);
             if admission != StartAdmission::Open {
@@ -122,11 +126,19 @@
 }
 
 /// Returns whether tasks of a step may start on some host, as far as its own row and its job show.
-fn may_place(world: &World, key: StepKey, may_start_inherited_jobs: bool) -> bool {
+fn may_place(world: &World, key: StepKey, inherited_starts: InheritedStarts) -> bool {
     world.jobs.steps.get(key).and_then(|step| Some((step, world.jobs.get(step.job)?))).is_some_and(
         |(step, job)| {
             let lacks_advice = job.record.policy.advice.is_some() && step.advice.approved_hosts.is_empty();
-            !lacks_advice && !job.state.is_final() && (may_start_inherited_jobs || !job.inherited)
+            let may_start = !job.inherited
+                || match inherited_starts {
+                    InheritedStarts::No => false,
+                    InheritedStarts::ExceptOnSilentHosts => {
+                        !world.holding.loading.silent_jobs.contains(&job.record.id)
+                    }
+                    InheritedStarts::All => true,
+                };
+            !lacks_advice && !job.state.is_final() && may_start
         },
     )
 }
@@ -161,6 +173,13 @@
     SearchOutcome::HasRoom
 }
 
+/// Returns whether tasks of the step's queue may crash their hosts, so that few runs should share one.
+fn is_spread(world: &World, step: &Step, now_ms: u64) -> bool {
+    let queue = world.jobs.get(step.job).map(|job| &job.record.policy.queue);
+    let until_ms = queue.and_then(|queue| world.runs.spread_until_ms.get(queue));
+    until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+}
+
 /// Starts the pending tasks of a step, as many as its room and its queue allow.
 fn place_pending_tasks(
     world: &mut World,
@@ -173,6 +192,7 @@
     let Some(pending_tasks) = world.jobs.steps.get(key).map(|step| step.pending_tasks.clone()) else {
         return;
     };
+    let mut isolation = Isolation::for_tasks(world, key, &pending_tasks);
     let mut unvisited_count = pending_tasks.len();
     let mut route = StartRoute::choose(world, key, unvisited_count.min(remaining_tasks as usize), now_ms);
     for task_key in pending_tasks {
@@ -193,9 +213,14 @@
             world.wake_by(not_before_ms);
             continue;
         }
-        let Some(position) = room.choose(world, task, packing) else { continue };
+        let is_suspect = task.crashes.is_suspect();
+        let position = match &mut isolation {
+            Some(isolation) if is_suspect => isolation.choose(world, &room, task, now_ms),
+            _ => room.choose(world, task, packing),
+        };
+        let Some(position) = position else { continue };
         let run_number = task.last_run_number + 1;
-        let host = room.take(position);
+        let host = if is_suspect { room.take_whole(position) } else { room.take(position) };
         start_task(world, task_key, host, run_number, &mut route, now_ms);
         remaining_tasks -= 1;
     }
@@ -204,20 +229,21 @@
 
 /// Hosts on which a step may start tasks in this round, with their free places.
 #[derive(Debug)]
-struct PlacementRoom {
+pub(crate) struct PlacementRoom {
     /// Candidates, each with the number of tasks that still fit.
-    candidates: Vec<(Candidate, u32)>,
+    pub candidates: Vec<(Candidate, u32)>,
     /// Resources that one task reserves.
     task_size: Resources,
 }
 
 impl PlacementRoom {
     fn find(world: &World, step: &Step, requirements: &StepRequirements<'_>, now_ms: u64) -> Self {
+        let is_spread = is_spread(world, step, now_ms);
         let candidates = startable_hosts(world, step, requirements, now_ms)
             .map(|(key, host)| (key, host, requirements.tasks_that_fit(host)))
             .filter(|(_, _, fitting_tasks)| *fitting_tasks > 0)
             .map(|(key, host, fitting_tasks)| {
-                (build_candidate(world, requirements, key, host, now_ms), fitting_tasks)
+                (build_candidate(world, requirements, key, host, is_spread, now_ms), fitting_tasks)
             });
         Self { candidates: candidates.collect(), task_size: requirements.reserved_resources }
     }
@@ -234,6 +260,11 @@
         choose_candidate(self.candidates.iter().enumerate().filter_map(for_task), packing)
     }
 
+    /// Takes all places of a candidate and returns its host.
+    fn take_whole(&mut self, position: usize) -> HostKey {
+        self.candidates.swap_remove(position).0.host
+    }
+
     /// Takes one place of a candidate and returns its host.
     fn take(&mut self, position: usize) -> HostKey {
         let (candidate, fitting_tasks) = &mut self.candidates[position];
@@ -309,7 +340,7 @@
 }
 
 /// Returns whether an earlier run of the task may still exist on the host.
-fn has_copy_on(world: &World, task: &Task, host: HostKey) -> bool {
+pub(crate) fn has_copy_on(world: &World, task: &Task, host: HostKey) -> bool {
     let mut copies = task.detached_runs.iter().filter_map(|run| world.runs.rows.get(*run));
     copies.any(|run| run.host == host)
 }
@@ -319,6 +350,7 @@
     requirements: &StepRequirements<'_>,
     key: HostKey,
     host: &Host,
+    is_spread: bool,
     now_ms: u64,
 ) -> Candidate {
     let off_data_rack = requirements.spec.data_rack.as_ref().is_some_and(|rack| !host.has_label(rack));
@@ -331,9 +363,21 @@
         off_data_rack,
         would_interfere: would_interfere(world, requirements, host),
         failures: host.standing.failures,
+        loss_cost: if is_spread { loss_cost(world, host, requirements.step) } else { 0 },
     }
 }
 
+/// Returns what the loss of a host would cost other jobs than that of a step.
+///
+/// A run counts for more if its step allows no copies, since its task waits until the loss is certain.
+pub(crate) fn loss_cost(world: &World, host: &Host, step: StepName) -> u32 {
+    let runs = host.runs.iter().filter_map(|run| world.runs.rows.get(*run));
+    let others = runs.filter(|run| run.name.step.job != step.job);
+    let allows_copies =
+        |task| world.jobs.task_context(task).is_some_and(|(_, _, spec)| spec.allows_copies && !spec.gang);
+    others.map(|run| if allows_copies(run.task) { 1 } else { SINGLE_RUN_COST }).sum()
+}
+
 /// Returns whether serving tasks and fillers would share the host.
 ///
 /// A serving task has a target for its tail latency. On a shared host fillers are slowed down, so that it meets the
@@ -378,6 +422,7 @@
         run.order_in_flight = true;
     }
     if let Some(host) = world.hosts.get_mut(host_key) {
+        host.last_start_at_ms = now_ms;
         host.lease_end_ms = host.lease_end_ms.max(now_ms + world.local.bounds.max_run_lease_ms());
         host.poll.next_ms = host.poll.next_ms.min(now_ms);
     }
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::adopt::adopt_run;
+use crate::crashes::{give_up_crashing_task, withdraw_crash};
 use crate::lease_expiry::reset_restarted_host;
 use crate::lifecycle::reattach_run;
 use crate::outcome::{end_run, finish_task, record_failed_run};
@@ -61,6 +62,7 @@
     let Some(host) = world.hosts.get_mut(key) else { return };
     if host.adoption == Adoption::Unknown {
         host.adoption = Adoption::Adopted;
+        world.store_writes.roster_stale |= host.end_silence();
         let log_record = LogRecord::new(EventId::HostAdopted).with("host", &host.entry.name);
         world.log(log_record.with("running", lists.running.len()).with("ended", lists.ended.len()));
     }
@@ -142,6 +144,7 @@
         run.progress_clock_ms = clock_ms;
     }
     run.listed_by_host = true;
+    let started_again = std::mem::take(&mut run.maybe_lost);
     if run.progress_percent != report.progress_percent {
         run.progress_percent = report.progress_percent;
         run.last_progress_at_ms = now_ms;
@@ -154,6 +157,10 @@
     {
         task.checkpoint = std::sync::Arc::clone(&report.checkpoint);
     }
+    if started_again {
+        // The new incarnation started it, so that the earlier one had not.
+        withdraw_crash(world, task, report.run_number);
+    }
     reattach_run(world, key);
     Some(key)
 }
@@ -195,6 +202,7 @@
         .collect();
     for run in unlisted {
         let Some(row) = world.runs.rows.get(run) else { continue };
+        let (task, maybe_lost) = (row.task, row.maybe_lost);
         if row.state == RunState::Running {
             let log_record = LogRecord::new(EventId::RunLost)
                 .with("task", row.name)
@@ -205,5 +213,8 @@
             world.log(log_record);
         }
         end_run(world, run, RunEnding::Lapsed, &std::sync::Arc::from(""), now_ms);
+        if maybe_lost {
+            give_up_crashing_task(world, task, now_ms);
+        }
     }
 }
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -2,17 +2,14 @@
 //!
 //! A host ends its runs when its lease expires, so the runs of an unresponsive host have ended by then.
 
-use std::sync::Arc;
-
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll, Restart};
-use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
 use cassiahoist_world::unrecorded_ends::UnrecordedEnds;
 
+use crate::crashes::{HostLoss, awaits_fate_of_host, end_lost_runs, record_crash};
 use crate::lifecycle::detach_run;
-use crate::outcome::end_run;
 
 /// How long a host's row is kept after its store entry disappeared, in milliseconds.
 const MISSING_HOST_RETENTION_MS: u64 = 15_000;
@@ -53,6 +50,8 @@
 }
 
 /// Requeues tasks whose copies may run in parallel, before an unresponsive host's lease expires.
+///
+/// Those that may have crashed the host wait for its fate.
 fn requeue_copies(world: &mut World, key: HostKey, now_ms: u64) {
     let Some(host) = world.hosts.get(key) else { return };
     let allows_copies = |run: &&RunKey| {
@@ -61,6 +60,9 @@
     };
     let runs: Vec<RunKey> = host.runs.iter().filter(allows_copies).copied().collect();
     for run in runs {
+        if awaits_fate_of_host(world, run, now_ms) {
+            continue;
+        }
         detach_run(world, run, now_ms);
     }
 }
@@ -92,7 +94,7 @@
         .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
         .with("lease_ended_ms_ago", now_ms.saturating_sub(host.lease_end_ms));
     world.log(log_record);
-    expire_runs(world, runs, "its lease expired", now_ms);
+    end_lost_runs(world, &runs, HostLoss::LeaseExpired, "its lease expired", now_ms);
 }
 
 /// Resets the row of a restarted host and ends its earlier runs.
@@ -117,16 +119,29 @@
     host.lists_received_at_ms = 0;
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
     host.open_extra_polls = 0;
+    let address = host.entry.address.clone();
+    host.refuses_connections = false;
+    host.last_start_at_ms = 0;
+    host.silent_jobs = None;
+    host.expired_suspects.clear();
     let was_listed = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed_by_host);
     let runs: Vec<RunKey> = host.runs.iter().filter(was_listed).copied().collect();
     if runs.len() < host.runs.len() {
         // The new incarnation reads the lease of a late start on its own clock, which is far behind the earlier one.
         host.lease_end_ms = host.lease_end_ms.max(now_ms + world.local.longest_run_lease_ms());
     }
+    let kept_runs: Vec<RunKey> = host.runs.iter().filter(|run| !was_listed(run)).copied().collect();
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
     world.log(log_record.with("cause", cause));
-    expire_runs(world, runs, cause, now_ms);
+    world.hosts.record_crash(&address, now_ms);
+    for run in kept_runs {
+        record_crash(world, run, HostLoss::Restarted, now_ms);
+        if let Some(run) = world.runs.rows.get_mut(run) {
+            run.maybe_lost = true;
+        }
+    }
+    end_lost_runs(world, &runs, HostLoss::Restarted, cause, now_ms);
 }
 
 /// Removes a host whose address now belongs to another host.
@@ -137,9 +152,11 @@
     let runs: Vec<RunKey> = host.runs.iter().copied().collect();
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
+    let address = host.entry.address.clone();
     world.log(log_record.with("cause", cause));
+    world.hosts.record_crash(&address, now_ms);
     world.store_writes.roster_stale |= host_in_roster(world, key);
-    expire_runs(world, runs, cause, now_ms);
+    end_lost_runs(world, &runs, HostLoss::Restarted, cause, now_ms);
     world.hosts.remove(key);
 }
 
@@ -147,27 +164,29 @@
     world.hosts.get(key).is_some_and(|host| host.in_roster)
 }
 
-fn expire_runs(world: &mut World, runs: Vec<RunKey>, cause: &str, now_ms: u64) {
-    for run in runs {
-        log_lost_run(world, run, cause, now_ms);
-        end_run(world, run, RunEnding::Lapsed, &Arc::from(""), now_ms);
-    }
+/// Which inherited jobs, those accepted before this daemon's claim, may start tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InheritedStarts {
+    /// None may, since runs of any of them may be unknown.
+    No,
+    /// All may but those that have runs on silent hosts.
+    ExceptOnSilentHosts,
+    /// All may.
+    All,
 }
 
-/// Logs which run was lost with its host, and how long the host was seen alive after its start.
-fn log_lost_run(world: &mut World, key: RunKey, cause: &str, now_ms: u64) {
-    let Some(run) = world.runs.rows.get(key) else { return };
-    let Some(host) = world.hosts.get(run.host) else { return };
-    let log_record = LogRecord::new(EventId::RunLostWithHost)
-        .with("task", run.name)
-        .with("run", run.run_number)
-        .with("host", &host.entry.name)
-        .with("cause", cause)
-        .with("state", format!("{:?}", run.state))
-        .with("started_ms_ago", now_ms.saturating_sub(run.start_sent_at_ms))
-        .with("answered_ms_after_start", host.last_answer_at_ms.saturating_sub(run.start_sent_at_ms))
-        .with("runs_on_host", host.runs.len());
-    world.log(log_record);
+/// Decides which inherited jobs may start tasks.
+#[must_use]
+pub fn decide_inherited_starts(world: &World, now_ms: u64) -> InheritedStarts {
+    if may_start_inherited_jobs(world, now_ms) {
+        return InheritedStarts::All;
+    }
+    let is_known =
+        |host: &Host| host.adoption == Adoption::Adopted || !host.in_roster || host.silent_jobs.is_some();
+    let runs_known = world.holding.is_holding()
+        && !world.holding.loading.is_roster_unreadable
+        && world.hosts.iter_engaged().all(|(_, host)| is_known(host));
+    if runs_known { InheritedStarts::ExceptOnSilentHosts } else { InheritedStarts::No }
 }
 
 /// Returns whether tasks of inherited jobs, those accepted before this daemon's claim, may start.
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -4,6 +4,7 @@
 //! resources reserved until the host lists its end or the host's lease expires.
 
 mod adopt;
+mod crashes;
 mod handled_starts;
 mod health;
 mod host_lists;
@@ -19,7 +20,9 @@
 mod stop_orders;
 mod unsent_starts;
 
-pub use lease_expiry::{may_start_inherited_jobs, reset_restarted_host};
+pub use lease_expiry::{
+    InheritedStarts, decide_inherited_starts, may_start_inherited_jobs, reset_restarted_host,
+};
 pub use lifecycle::{reserve_run, stop_job_runs, stop_run};
 pub use outcome::advance_job;
 
@@ -39,6 +42,7 @@
             .add_system(TickSet::HostAnswers, start_relays::choose_start_relays)
             .add_system(TickSet::Runs, handled_starts::relay_starts)
             .add_system(TickSet::Runs, stalls::stop_stalled_runs)
+            .add_system(TickSet::Runs, crashes::end_probations)
             .add_system(TickSet::Runs, stop_orders::send_stop_orders)
             .add_system(TickSet::Runs, unsent_starts::issue_unsent_starts)
             .add_system(TickSet::Runs, pace::send_filler_pace)
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -7,6 +7,8 @@
 use cassiahoist_world::record::JobState;
 use cassiahoist_world::runs::{Run, RunKey, RunState, StopReason};
 
+use crate::crashes::begin_probation;
+
 /// Creates a run's row and reserves its resources on the host.
 ///
 /// It also marks the task as placed and a queued job as running. `run_number` rises with each start of the task.
@@ -32,6 +34,8 @@
         start_sent_at_ms: now_ms,
         confirmed_at_ms: now_ms,
         listed_by_host: false,
+        adopted: state == RunState::Running,
+        maybe_lost: false,
         order_in_flight: false,
         next_stop_at_ms: now_ms,
         progress_percent: 0,
@@ -48,6 +52,7 @@
         task.last_run_number = task.last_run_number.max(run_number);
     }
     mark_placed(world, task_key, key);
+    begin_probation(world, key);
     if let Some(step) = world.jobs.steps.get_mut(step_key) {
         step.last_gang_run = step.last_gang_run.max(run_number);
         let job = step.job;
@@ -64,7 +69,9 @@
 pub(crate) fn drop_run(world: &mut World, key: RunKey) -> Option<Run> {
     let run = world.runs.rows.remove(key)?;
     world.runs.stopping.remove(&key);
+    world.runs.on_probation.remove(&key);
     if let Some(host) = world.hosts.get_mut(run.host) {
+        host.isolated_run.take_if(|isolated| *isolated == key);
         host.reserved = host.reserved.saturating_sub(&run.reserved);
         host.runs.remove(&key);
     }
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -8,6 +8,7 @@
 use cassiahoist_world::runs::{RunKey, RunState, StopReason};
 use cassiahoist_world::unsent::UnsentCause;
 
+use crate::crashes::{suspect_new_runs, withdraw_crashes};
 use crate::health::record_failure;
 use crate::host_lists::apply_host_lists;
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
@@ -232,6 +233,7 @@
                 let log_record = LogRecord::new(EventId::HostResponsive).with("host", name);
                 let log_record = log_record.with("silent_ms", now_ms - since_ms);
                 world.log(log_record.with("order", completion.order.order.name()));
+                withdraw_crashes(world, completion.order.host);
             }
         }
         OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {
@@ -253,10 +255,24 @@
                     _ => log_record.with("outcome", "Unknown"),
                 });
             }
+            note_refused_connection(world, completion, now_ms);
         }
     }
 }
 
+/// Records that an unresponsive host refuses connections. Its process has probably ended, and its new runs are suspects.
+fn note_refused_connection(world: &mut World, completion: &OrderCompletion, now_ms: u64) {
+    let key = completion.order.host;
+    let Some(host) = world.hosts.get_mut(key).filter(|host| host.unresponsive_since_ms.is_some()) else {
+        return;
+    };
+    if completion.outcome == OrderOutcome::NotSent(UnsentCause::ConnectFailed) && !host.refuses_connections {
+        host.refuses_connections = true;
+        world.hosts.record_loss(key, now_ms);
+        suspect_new_runs(world, key, now_ms);
+    }
+}
+
 /// Records that a host answered a relay, or that a relay did not send an order.
 ///
 /// Silence of the host towards its relay says nothing about the path from this daemon, nor does the time of the answer.
@@ -375,7 +391,7 @@
 /// Polls a host outside the regular schedule. Does nothing if this daemon has no claim.
 ///
 /// The open poll may wait much longer.
-fn poll_immediately(world: &mut World, key: HostKey, now_ms: u64) {
+pub(crate) fn poll_immediately(world: &mut World, key: HostKey, now_ms: u64) {
     if world.holding.fence().is_none() {
         return;
     }
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -8,9 +8,10 @@
 use cassiahoist_world::jobs::{JobKey, StepKey, StepState, TaskKey, TaskState};
 use cassiahoist_world::orders::RunEnding;
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::record::JobState;
+use cassiahoist_world::record::{FailureReason, JobFailure, JobState};
 use cassiahoist_world::runs::{RunKey, StopReason};
 
+use crate::crashes::clear_task;
 use crate::health::{record_failure, record_success};
 use crate::lifecycle::{drop_run, requeue_placed_task, requeue_task, stop_job_runs, stop_run};
 
@@ -35,6 +36,7 @@
             world.counters.runs_done += 1;
             record_success(world, run.host, now_ms);
             record_run_time(world, run.task, now_ms - run.start_sent_at_ms);
+            clear_task(world, run.task, "it is done");
             finish_task(world, run.task, now_ms);
         }
         RunEnding::Failed => {
@@ -148,14 +150,28 @@
         }
     }
     if !unfinished {
-        end_job(world, job_key, JobState::Completed, "all tasks are done", now_ms);
+        end_job(world, job_key, JobEnd::Completed, now_ms);
     }
 }
 
+/// How a job ends by itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum JobEnd {
+    /// All of its tasks are done.
+    Completed,
+    /// It can't be done.
+    Failed(JobFailure),
+}
+
 /// Moves a job to a final state and stops its runs.
-///
-/// `cause` goes to the log.
-pub(crate) fn end_job(world: &mut World, job_key: JobKey, state: JobState, cause: &str, now_ms: u64) {
+pub(crate) fn end_job(world: &mut World, job_key: JobKey, end: JobEnd, now_ms: u64) {
+    let (state, failure) = match end {
+        JobEnd::Completed => (JobState::Completed, None),
+        JobEnd::Failed(failure) => (JobState::Failed, Some(failure)),
+    };
+    let crashed_hosts = failure.iter().flat_map(|failure| &failure.crashed_hosts);
+    let crashed_hosts: Vec<&str> = crashed_hosts.map(HostName::as_str).collect();
+    let cause = failure.as_ref().map_or("all tasks are done", |failure| failure.reason.text());
     let unix_ms = world.local.unix_ms;
     let Some(job) = world.jobs.get_mut(job_key) else { return };
     if job.state.is_final() {
@@ -163,6 +179,7 @@
     }
     job.state = state;
     job.ended_unix_ms = unix_ms;
+    job.failure.clone_from(&failure);
     let took_ms = unix_ms.saturating_sub(job.record.accepted_unix_ms);
     let (id, queue, steps) = (job.record.id, job.record.policy.queue.clone(), job.steps.clone());
     for step in steps {
@@ -173,7 +190,12 @@
     world.counters.jobs_ended += 1;
     world.counters.job_ms.record(took_ms);
     let log_record = LogRecord::new(EventId::JobEnded).with("job", id).with("queue", queue);
-    world.log(log_record.with("state", format!("{state:?}")).with("took_ms", took_ms).with("cause", cause));
+    let log_record = log_record.with("state", format!("{state:?}")).with("took_ms", took_ms);
+    let log_record = log_record.with("cause", cause);
+    world.log(match &failure {
+        None => log_record,
+        Some(failure) => log_record.with("task", failure.task).with("hosts", crashed_hosts.join(" ")),
+    });
     stop_job_runs(world, job_key, now_ms);
 }
 
@@ -191,6 +213,7 @@
     }
     let (runs_until_cancelled, gang, step_key, job_key) =
         (spec.runs_until_cancelled, spec.gang, task.step, step.job);
+    let task_name = task.name;
     let Some(task) = world.jobs.tasks.get_mut(task_key) else { return };
     task.last_run_number = task.last_run_number.max(run_number);
     task.failed_hosts.push(host);
@@ -212,7 +235,9 @@
     world.jobs.unrecorded_jobs.insert(job_key);
     let limit = world.jobs.get(job_key).map_or(u32::MAX, |job| job.record.policy.max_attempts);
     if failures >= limit as usize {
-        end_job(world, job_key, JobState::Failed, "a task reached the queue's limit of failed runs", now_ms);
+        let failure =
+            JobFailure { reason: FailureReason::FailedRuns, task: task_name, crashed_hosts: Vec::new() };
+        end_job(world, job_key, JobEnd::Failed(failure), now_ms);
     }
 }
 
--- a/crates/cassiahoist_world/src/counters.rs
+++ b/crates/cassiahoist_world/src/counters.rs
@@ -50,6 +50,10 @@
     ///
     /// Runs whose start order was not answered count too.
     pub runs_stopped: u64,
+    /// Crashes of hosts that were recorded for a task, one for each task that may be the cause.
+    pub crashes_recorded: u64,
+    /// Jobs that failed because hosts crashed repeatedly under a task.
+    pub jobs_crashing: u64,
     /// Polls of hosts, both regular and immediate ones.
     pub polls: u64,
     /// Calls to the store, including watches.
--- /dev/null
+++ b/crates/cassiahoist_world/src/crashes.rs
@@ -0,0 +1,155 @@
+//! Hosts that were lost while a task ran on them, and what follows for the task.
+//!
+//! A host that crashes lists no ends, and any of its runs may be the cause. A task under which a host was lost soon after the
+//! start is a suspect: it starts alone on a host until it has outlived its probation there. So the next crash has one
+//! cause, and only few hosts are at risk at a time.
+
+use cassiahoist_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Age up to which a run counts as new, in milliseconds.
+///
+/// A task that crashes its hosts usually does so at its start.
+pub const NEW_RUN_MS: u64 = 500;
+
+/// Largest difference in age to the newest run on a host of the likely causes of its loss, in milliseconds.
+pub const NEWEST_SPAN_MS: u64 = 150;
+
+/// Time from a start order to the loss of its host within which the loss is immediate, in milliseconds.
+const IMMEDIATE_MS: u64 = 150;
+
+/// Number of early crashes after which a task is given up.
+///
+/// Two are enough if both are immediate and the task was alone in the second. A third one keeps tasks clear that were lost
+/// twice with a rack or a flapping host.
+pub const MAX_EARLY_CRASHES: usize = 3;
+
+/// Number of crashes in a row, early or late, after which a task is given up.
+pub const MAX_CRASHES: usize = 6;
+
+/// Time that a run has to outlive the earlier ones by, in milliseconds.
+const PROBATION_MARGIN_MS: u64 = 200;
+
+/// Longest probation of a suspect, in milliseconds.
+const MAX_ISOLATION_MS: u64 = 1_000;
+
+/// Longest probation of a task whose hosts crashed late, in milliseconds.
+const MAX_PROBATION_MS: u64 = 5_000;
+
+/// Loss of a host under a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// Number of the run.
+    pub run_number: u64,
+    /// Host that was lost.
+    pub host: HostName,
+    /// How long after the start order the host was last heard, in milliseconds.
+    pub heard_after_ms: u64,
+    /// How long after the start order the loss was noticed, in milliseconds.
+    pub lost_after_ms: u64,
+    /// Whether the run was among the newest on the host, so that it is the likely cause.
+    pub is_newest: bool,
+    /// Whether the run was a suspect that had the host to itself.
+    pub is_isolated: bool,
+}
+
+impl Crash {
+    /// Returns whether the host was lost while the run was new.
+    #[must_use]
+    pub fn is_early(&self) -> bool {
+        self.heard_after_ms < NEW_RUN_MS
+    }
+
+    /// Returns whether the host was lost at once after the start of the run.
+    #[must_use]
+    pub fn is_immediate(&self) -> bool {
+        self.is_newest && self.lost_after_ms <= IMMEDIATE_MS
+    }
+}
+
+/// Crashes under the runs of a task, or of a gang, since one of them last outlived its probation.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashHistory {
+    crashes: Vec<Crash>,
+}
+
+impl CrashHistory {
+    /// Adds a crash and returns whether it is new. Members of a gang share a run number, which counts once.
+    pub fn record(&mut self, crash: Crash) -> bool {
+        let is_known = self.crashes.iter().any(|known| known.run_number == crash.run_number);
+        if is_known || self.crashes.len() >= MAX_CRASHES {
+            return false;
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    /// Removes the crash of a run whose host is alive after all, and returns whether there was one.
+    pub fn withdraw(&mut self, run_number: u64) -> bool {
+        let count = self.crashes.len();
+        self.crashes.retain(|crash| crash.run_number != run_number);
+        self.crashes.len() < count
+    }
+
+    /// Removes all crashes.
+    pub fn clear(&mut self) {
+        self.crashes.clear();
+    }
+
+    /// Returns whether no crash is recorded.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Returns the number of crashes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Iterates over the crashes, the earliest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter()
+    }
+
+    /// Returns whether the task has to start alone.
+    ///
+    /// It does after one early crash in which it is the likely cause, and after any second early one.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        let mut early = self.crashes.iter().filter(|crash| crash.is_early());
+        early.clone().any(|crash| crash.is_newest) || early.nth(1).is_some()
+    }
+
+    /// Returns whether the task is to be given up.
+    #[must_use]
+    pub fn is_exhausted(&self) -> bool {
+        let early_count = self.crashes.iter().filter(|crash| crash.is_early()).count();
+        early_count >= MAX_EARLY_CRASHES || self.crashes.len() >= MAX_CRASHES
+    }
+
+    /// Returns the latest crash if it leaves hardly another cause than the task: the second immediate one, with the task
+    /// alone on the host.
+    #[must_use]
+    pub fn conclusive_crash(&self) -> Option<&Crash> {
+        let latest = self.crashes.last().filter(|crash| crash.is_isolated && crash.is_immediate());
+        let immediate_count = self.crashes.iter().filter(|crash| crash.is_immediate()).count();
+        latest.filter(|_| immediate_count >= 2)
+    }
+
+    /// Returns how long the next run has to last to clear the task, in milliseconds.
+    #[must_use]
+    pub fn probation_ms(&self) -> u64 {
+        let (early, late): (Vec<&Crash>, Vec<&Crash>) =
+            self.crashes.iter().partition(|crash| crash.is_early());
+        let outlive = |crashes: &[&Crash], limit_ms: u64| {
+            let longest_ms = crashes.iter().map(|crash| crash.lost_after_ms).max();
+            longest_ms.map_or(0, |ms| (ms + PROBATION_MARGIN_MS).min(limit_ms))
+        };
+        outlive(&early, MAX_ISOLATION_MS).max(outlive(&late, MAX_PROBATION_MS))
+    }
+}
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -25,6 +25,8 @@
     pub progress_in_flight: bool,
     /// Roster as read; `None` before that and once its hosts are in the tables.
     pub roster: Option<HostRoster>,
+    /// Jobs that may have runs on hosts which the roster lists as silent.
+    pub silent_jobs: FxHashSet<JobId>,
     /// Whether the roster can't be decoded. Then any host may still run tasks of an earlier holder.
     pub is_roster_unreadable: bool,
     /// Whether the hosts of the roster are in the tables.
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -1,7 +1,7 @@
 //! Backend servers that run tasks.
 
 use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::ops::Deref;
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 pub use crate::keys::HostKey;
-use crate::keys::{JobKey, RunKey};
+use crate::keys::{JobKey, RunKey, TaskKey};
 use crate::rows::{IndexedRows, Row};
 use crate::runs::RunTable;
 use crate::spec::StepSpec;
@@ -57,6 +57,27 @@
 /// Fewest hosts whose common silence is taken for a fault of this daemon or its path.
 const MIN_COMMONLY_SILENT_HOSTS: usize = 5;
 
+/// Time for which a host that crashed is avoided for suspects, in milliseconds.
+///
+/// A machine that crashes by itself would be taken for the doing of the suspect.
+const CRASH_MEMORY_MS: u64 = 30_000;
+
+/// Time for which the loss of a host is remembered, in milliseconds. Its fate is known by then.
+const LOSS_MEMORY_MS: u64 = 15_000;
+
+/// Largest time between the losses of hosts that are lost together, in milliseconds.
+///
+/// A host with a poll open shows its loss at once, another one at its next order.
+const COMMON_LOSS_MS: u64 = 1_000;
+
+/// A host that began to refuse connections.
+#[derive(Clone, Debug)]
+struct Loss {
+    host: HostName,
+    rack: Option<Arc<str>>,
+    lost_at_ms: u64,
+}
+
 /// State of the regular polls of a host; at most one is open.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Poll {
@@ -144,6 +165,10 @@
     pub lease_end_ms: u64,
     /// Whether the stored roster lists the host; without that it gets no start orders.
     pub in_roster: bool,
+    /// Jobs that may have runs on the host, as the stored roster lists them; `None` unless it lists the host as silent.
+    ///
+    /// The host gets no start orders until the roster lists it as usual again.
+    pub silent_jobs: Option<Vec<JobId>>,
     /// Greatest end number of this host that the holder has applied. 0 before the first.
     pub last_end_applied: u64,
     /// Greatest end number that is durable in the store. The host may drop ends up to it.
@@ -164,6 +189,16 @@
     pub runs: FxHashSet<RunKey>,
     /// Record of failures by which it is quarantined.
     pub standing: Standing,
+    /// Whether the host refused the last connection, so that its process has probably ended.
+    pub refuses_connections: bool,
+    /// When a start order was last issued to the host, in monotonic milliseconds; 0 if none was.
+    pub last_start_at_ms: u64,
+    /// Suspect that has the host to itself; no other task starts there meanwhile.
+    pub isolated_run: Option<RunKey>,
+    /// Tasks and run numbers whose crash was recorded when the host's lease expired.
+    ///
+    /// The host may turn out to be alive.
+    pub expired_suspects: Vec<(TaskKey, u64)>,
     /// Processor share that fillers on the host get, in percent.
     pub filler_pace_percent: u8,
     /// When that share last changed, in monotonic milliseconds; 0 if never.
@@ -192,6 +227,7 @@
             clock_known: false,
             lease_end_ms: 0,
             in_roster: false,
+            silent_jobs: None,
             last_end_applied: 0,
             last_end_recorded: 0,
             lists_ends: false,
@@ -202,6 +238,10 @@
             orphans: OrphanRuns::default(),
             runs: FxHashSet::default(),
             standing: Standing::default(),
+            refuses_connections: false,
+            last_start_at_ms: 0,
+            isolated_run: None,
+            expired_suspects: Vec::new(),
             filler_pace_percent: 100,
             filler_pace_changed_at_ms: 0,
             rules: HostRules::default(),
@@ -219,6 +259,15 @@
         started_unix_ms != self.entry.started_unix_ms
     }
 
+    /// Ends the listing of the host as silent, since it answers. The roster has to be written before its next start.
+    ///
+    /// Returns whether it was listed so.
+    pub fn end_silence(&mut self) -> bool {
+        let was_listed = self.silent_jobs.take().is_some();
+        self.in_roster &= !was_listed;
+        was_listed
+    }
+
     /// Returns the resources that are free for new runs.
     ///
     /// That is the share of the capacity that operators allow, less what is reserved for runs and used by
@@ -252,6 +301,7 @@
             && self.unresponsive_since_ms.is_none()
             && self.clock_known
             && !self.orphans.has_unknown_size
+            && self.isolated_run.is_none()
             && now_ms >= self.standing.quarantined_until_ms
     }
 
@@ -311,6 +361,10 @@
     pub stale_rules: Vec<HostKey>,
     /// Engaged hosts, ordered by key.
     engaged: BTreeSet<HostKey>,
+    /// When hosts last crashed, by address, in monotonic milliseconds.
+    crashed_at_ms: FxHashMap<String, u64>,
+    /// Hosts that began to refuse connections lately, the earliest first.
+    losses: VecDeque<Loss>,
     /// When to engage further hosts next, in monotonic milliseconds.
     pub next_engage_at_ms: u64,
     /// Position, among the ready steps, of the one whose demand for hosts is looked at next; counts on without end.
@@ -372,6 +426,8 @@
         self.rows.clear();
         self.largest_by_pool.clear();
         self.stale_rules.clear();
+        self.crashed_at_ms.clear();
+        self.losses.clear();
         self.engaged.clear();
     }
 
@@ -416,6 +472,46 @@
         self.rows_visited.set(self.rows_visited.get() + self.engaged.len() as u64);
     }
 
+    /// Records that the host at an address has crashed.
+    pub fn record_crash(&mut self, address: &str, now_ms: u64) {
+        self.crashed_at_ms.retain(|_, at_ms| now_ms < *at_ms + CRASH_MEMORY_MS);
+        self.crashed_at_ms.insert(address.into(), now_ms);
+    }
+
+    /// Records that a host began to refuse connections.
+    pub fn record_loss(&mut self, key: HostKey, now_ms: u64) {
+        let Some(host) = self.rows.get(key) else { return };
+        let loss = Loss {
+            host: host.entry.name.clone(),
+            rack: host.rack().cloned(),
+            lost_at_ms: host.unresponsive_since_ms.unwrap_or(now_ms),
+        };
+        while self.losses.front().is_some_and(|loss| now_ms >= loss.lost_at_ms + LOSS_MEMORY_MS) {
+            self.losses.pop_front();
+        }
+        self.losses.push_back(loss);
+    }
+
+    /// Returns whether the loss of a host is known and no other host of its rack was lost at that time.
+    ///
+    /// Racks and failure domains lose their hosts together.
+    #[must_use]
+    pub fn was_lost_alone(&self, name: &HostName) -> bool {
+        let Some(loss) = self.losses.iter().rfind(|loss| loss.host == *name) else { return false };
+        let is_together = |other: &&Loss| {
+            other.host != *name
+                && other.rack == loss.rack
+                && other.lost_at_ms.abs_diff(loss.lost_at_ms) <= COMMON_LOSS_MS
+        };
+        !self.losses.iter().any(|other| is_together(&other))
+    }
+
+    /// Returns whether the host at an address has crashed lately.
+    #[must_use]
+    pub fn has_crashed_lately(&self, address: &str, now_ms: u64) -> bool {
+        self.crashed_at_ms.get(address).is_some_and(|at_ms| now_ms < *at_ms + CRASH_MEMORY_MS)
+    }
+
     /// Iterates over the engaged hosts, ordered by key.
     pub fn iter_engaged(&self) -> impl Iterator<Item = (HostKey, &Host)> {
         self.count_visit();
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -9,10 +9,11 @@
 use slotmap::SlotMap;
 
 use crate::advice::{StepAdvice, Ticket};
+use crate::crashes::CrashHistory;
 use crate::keys::{HostKey, RunKey};
 pub use crate::keys::{JobKey, StepKey, TaskKey};
 use crate::ready_steps::{AdviceQueue, Position, Rank, ReadySteps};
-use crate::record::{JobRecord, JobState};
+use crate::record::{JobFailure, JobRecord, JobState};
 use crate::rows::{IndexedRows, Row};
 use crate::spec::StepSpec;
 
@@ -37,6 +38,8 @@
     pub added_at_ms: u64,
     /// When it reached its final state, in Unix milliseconds; 0 before that.
     pub ended_unix_ms: u64,
+    /// Why it failed; `None` unless it did.
+    pub failure: Option<JobFailure>,
 }
 
 /// State of a step.
@@ -73,6 +76,8 @@
     pub advice: StepAdvice,
     /// Numbers of the gang's failed runs; empty for a step that is no gang.
     pub gang_failed_runs: Vec<u64>,
+    /// Crashes under the gang's runs; empty for a step that is no gang.
+    pub gang_crashes: CrashHistory,
     /// Greatest run number that the gang has used; all its members share one.
     pub last_gang_run: u64,
 }
@@ -99,6 +104,8 @@
     pub state: TaskState,
     /// Numbers of its failed runs, each counted once; empty for a gang's task.
     pub failed_runs: Vec<u64>,
+    /// Crashes under its runs; empty for a gang's task.
+    pub crashes: CrashHistory,
     /// Greatest run number that the task has used.
     pub last_run_number: u64,
     /// Earlier runs that may still exist on unresponsive hosts; only for steps that allow copies.
@@ -298,6 +305,24 @@
         Some((task, step, self.step_spec(step)?))
     }
 
+    /// Returns the crashes under a task's runs, or under those of its gang.
+    #[must_use]
+    pub fn crashes_of(&self, key: TaskKey) -> Option<&CrashHistory> {
+        let (task, step, spec) = self.task_context(key)?;
+        Some(if spec.gang { &step.gang_crashes } else { &task.crashes })
+    }
+
+    /// Returns the crashes under a task's runs, or under those of its gang, for changes.
+    pub fn crashes_of_mut(&mut self, key: TaskKey) -> Option<&mut CrashHistory> {
+        let (task, _, spec) = self.task_context(key)?;
+        let (step_key, is_gang) = (task.step, spec.gang);
+        if is_gang {
+            self.steps.get_mut(step_key).map(|step| &mut step.gang_crashes)
+        } else {
+            self.tasks.get_mut(key).map(|task| &mut task.crashes)
+        }
+    }
+
     /// Iterates over all jobs for changes.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (JobKey, &mut Job)> {
         self.rows.iter_mut()
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -22,6 +22,8 @@
 //!   **run lease**, at whose end the host ends its runs.
 //! - A daemon that the store does not answer **relays** its callers' calls through a peer.
 //! - While start orders fill the holder's link, peers send them to the hosts for it. They are its **start relays**.
+//! - A task whose host was lost soon after its start is a **suspect**. It starts alone on a host and is cleared once it
+//!   has outlived its **probation** there.
 //! - **Advice** is a service of the platform that names the hosts which may run a step and gives a **ticket**
 //!   for each.
 //!
@@ -36,6 +38,7 @@
 pub mod calls;
 pub mod config;
 pub mod counters;
+pub mod crashes;
 pub mod declarations;
 pub mod effect;
 pub mod event;
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::QueuePolicy;
+use crate::crashes::CrashHistory;
 use crate::spec::JobSpec;
 
 /// A job as accepted; never changed after its creation.
@@ -43,7 +44,7 @@
     Running,
     /// Every task is done.
     Completed,
-    /// A task failed as often as its queue allows.
+    /// A task failed as often as its queue allows, or crashed too many hosts. [`JobFailure`] tells which.
     Failed,
     /// The caller cancelled it.
     Cancelled,
@@ -57,6 +58,41 @@
     }
 }
 
+/// Reason for which a job failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FailureReason {
+    /// A task, or a gang, failed as often as its queue allows.
+    FailedRuns,
+    /// Hosts crashed again and again under a task, or a gang.
+    CrashedHosts,
+}
+
+impl FailureReason {
+    /// Returns the reason in words, for callers and the log.
+    #[must_use]
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::FailedRuns => "a task reached the queue's limit of failed runs",
+            Self::CrashedHosts => "hosts crashed repeatedly under a task",
+        }
+    }
+}
+
+/// Why a job failed, with the evidence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobFailure {
+    /// Reason that callers are told.
+    pub reason: FailureReason,
+    /// Task at which the job failed.
+    pub task: TaskName,
+    /// Hosts that crashed under it, in order; empty for another reason.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed_hosts: Vec<HostName>,
+}
+
 /// Progress of one step of one occurrence.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -66,6 +102,12 @@
     /// Numbers of failed runs, by task index.
     #[serde(default, skip_serializing_if = "FxHashMap::is_empty")]
     pub failed_runs: FxHashMap<u32, Vec<u64>>,
+    /// Crashes of hosts, by task index.
+    #[serde(default, skip_serializing_if = "FxHashMap::is_empty")]
+    pub crashes: FxHashMap<u32, CrashHistory>,
+    /// Crashes of hosts under the gang.
+    #[serde(default, skip_serializing_if = "CrashHistory::is_empty")]
+    pub gang_crashes: CrashHistory,
     /// Numbers of failed runs of the gang.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub gang_failed_runs: Vec<u64>,
@@ -107,6 +149,9 @@
     /// When the job reached its final state, in Unix milliseconds; 0 before that.
     #[serde(default)]
     pub ended_unix_ms: u64,
+    /// Why the job failed; `None` unless it did. Daemons before this field give no reason.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failure: Option<JobFailure>,
 }
 
 /// The claim: names the holder of a slice.
@@ -165,6 +210,11 @@
     /// Start of its incarnation, in Unix milliseconds.
     #[serde(rename = "born_unix_ms")]
     pub started_unix_ms: u64,
+    /// Jobs that may have runs on the host, if it refuses connections and gets no orders; else `None`.
+    ///
+    /// The next holder need not wait for the host with any other job.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silent_jobs: Option<Vec<JobId>>,
 }
 
 /// The roster: every host that may run work of a slice.
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -1,5 +1,7 @@
 //! Runs of tasks on hosts.
 
+use std::collections::BTreeSet;
+
 use cassiahoist_core::prelude::*;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slotmap::SlotMap;
@@ -64,6 +66,10 @@
     pub confirmed_at_ms: u64,
     /// Whether a poll has listed the run. Then it belongs to the known incarnation of its host.
     pub listed_by_host: bool,
+    /// Whether an earlier holder started the run, so that its age is unknown.
+    pub adopted: bool,
+    /// Whether the run may have been lost with an earlier incarnation of its host.
+    pub maybe_lost: bool,
     /// Whether an order about the run is in flight.
     pub order_in_flight: bool,
     /// When to send the next stop order, in monotonic milliseconds.
@@ -107,6 +113,10 @@
     pub unsent_starts: Vec<UnsentStart>,
     /// Runs that were ordered to stop and may need a further stop order.
     pub stopping: FxHashSet<RunKey>,
+    /// Runs of tasks under which hosts were lost, which have not outlived their probation.
+    pub on_probation: BTreeSet<RunKey>,
+    /// Until when new tasks of a queue are spread, in monotonic milliseconds, since its tasks may crash their hosts.
+    pub spread_until_ms: FxHashMap<QueueName, u64>,
     /// When to look for stalled runs next, in monotonic milliseconds.
     pub next_stall_check_at_ms: u64,
     /// When to compare the pace of fillers with that of their hosts next, in monotonic milliseconds.
@@ -127,6 +137,8 @@
     pub fn clear(&mut self) {
         self.rows.clear();
         self.stopping.clear();
+        self.on_probation.clear();
+        self.spread_until_ms.clear();
         self.unsent_starts.clear();
         self.start_window = StartWindow::default();
         self.start_budget = StartBudget::default();
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -38,6 +38,10 @@
     pub next_flush_at_ms: u64,
     /// Whether an end arrived that no flush has recorded. Then a flush is due even if no job changed.
     pub ends_unrecorded: bool,
+    /// Whether crashes of hosts under tasks wait to be recorded.
+    pub crashes_unrecorded: bool,
+    /// When the roster may be written next to list hosts as silent, in monotonic milliseconds.
+    pub next_roster_silence_at_ms: u64,
     /// Jobs whose records are being removed from the store. Empty if no removal is in flight.
     pub jobs_in_removal: Vec<JobKey>,
     /// When to search for expired jobs next, in monotonic milliseconds.
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -1,7 +1,7 @@
 //! Runs seeded simulations with faults and checks them against the scheduler's invariants.
 //!
 //! `cargo run --release --example prove -- --seeds 500`; `--seed N` repeats one seed and prints its log. Each seed is
-//! played with all workloads and with overlapping misfortunes, one in five with full links, and one in twenty with the
+//! played with all workloads, with overlapping misfortunes and with tasks that crash their hosts, one in five with full links, and one in twenty with the
 //! crowded and the narrow scenario, which take longer; `--full-link-seeds N` and `--crowded-seeds N` set their numbers.
 
 use std::process::ExitCode;
@@ -91,7 +91,7 @@
         let seeds = self.from..self.from + self.seeds;
         let crowded_seeds = self.crowded_seeds.unwrap_or(self.seeds / SEEDS_PER_CROWDED);
         let [plain, varied, copies] = Workload::ALL.map(Day::Seeded);
-        let small_days = [plain, varied, copies, Day::Misfortunes];
+        let small_days = [plain, varied, copies, Day::Misfortunes, Day::Deadly];
         let small = seeds.flat_map(|seed| small_days.map(|day| (seed, day)));
         let large_days = [Day::Crowded, Day::Narrow];
         let large = (self.from..self.from + crowded_seeds).flat_map(|seed| large_days.map(|day| (seed, day)));
