Record crashes before a suspect starts, and count losses of racks apart

A stand-in host that has crashed no longer answers calls that were under way.

Callers are told why a job failed ("reason"), hoistctl explain shows the reason, the task and its hosts, and which suspects wait; dump shows suspects and hosts that refuse connections.

task_missing_after_a_host_restart_starts_again now lets the store accept the record first: such a task is a suspect, and starts once that is recorded.

--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -6,7 +6,10 @@
 use cassiahoist_core::prelude::*;
 use cassiahoist_traffic::control_link::View;
 use cassiahoist_traffic::declarations::VersionedDeclarations;
+use cassiahoist_world::crashes::CrashHistory;
+use cassiahoist_world::hosts::Host;
 use cassiahoist_world::jobs::{Step, StepState};
+use cassiahoist_world::record::JobFailure;
 use cassiahoist_world::world::World;
 use serde_json::{Value, json};
 
@@ -67,6 +70,8 @@
                 "silent_since_ms": host.unresponsive_since_ms,
                 "missing_since_ms": host.missing_since_ms,
                 "leaving_since_ms": host.draining_since_ms,
+                "refuses_connections": host.refuses_connections,
+                "suspect": suspect_on(world, host),
             })
         })
         .collect();
@@ -85,6 +90,7 @@
                 "queue": job.record.policy.queue,
                 "state": job.state,
                 "recorded": job.recorded_state,
+                "failure": job.failure.as_ref().map(|failure| failure.reason.text()),
                 "waiting_tasks": waiting,
             })
         })
@@ -99,6 +105,11 @@
     })
 }
 
+/// Returns the task that has a host to itself, since hosts crashed under it.
+fn suspect_on(world: &World, host: &Host) -> Option<TaskName> {
+    world.runs.rows.get(host.isolated_run?).map(|run| run.name)
+}
+
 fn dump_runs(world: &World) -> Vec<Value> {
     world
         .runs
@@ -137,10 +148,38 @@
         "state": job.state,
         "recorded": job.recorded_state,
         "inherited": job.inherited,
+        "failure": job.failure.as_ref().map(explain_failure),
         "steps": steps,
     })
 }
 
+/// Returns whether a pending task of a step has to start alone.
+fn has_pending_suspect(world: &World, step: &Step) -> bool {
+    let mut tasks = step.pending_tasks.iter();
+    tasks.any(|task| world.jobs.crashes_of(*task).is_some_and(CrashHistory::is_suspect))
+}
+
+fn explain_failure(failure: &JobFailure) -> Value {
+    json!({
+        "reason": failure.reason.text(),
+        "task": failure.task,
+        "crashed_hosts": failure.crashed_hosts,
+    })
+}
+
+/// Lists the crashes of hosts under the tasks of a step, for which they are suspected.
+fn explain_crashes(world: &World, step: &Step) -> Vec<Value> {
+    let tasks = step.tasks.iter().filter_map(|key| world.jobs.tasks.get(*key));
+    let by_task = tasks.map(|task| (task.name.to_string(), &task.crashes));
+    let by_gang = std::iter::once((step.name.to_string(), &step.gang_crashes));
+    let crashes = by_task.chain(by_gang).filter(|(_, crashes)| !crashes.is_empty());
+    let explained = crashes.map(|(name, crashes)| {
+        let hosts: Vec<&HostName> = crashes.iter().map(|crash| &crash.host).collect();
+        json!({ "of": name, "hosts": hosts, "starts_alone": crashes.is_suspect() })
+    });
+    explained.collect()
+}
+
 fn explain_step(world: &World, step: &Step) -> Value {
     let failed: usize = step
         .tasks
@@ -153,6 +192,9 @@
         (StepState::Blocked, _) => "earlier steps or its due time",
         (StepState::Ready, true) => "its runs",
         (StepState::Ready, false) if step.advice.open_call.is_some() => "advice on hosts",
+        (StepState::Ready, false) if has_pending_suspect(world, step) => {
+            "a host that its suspected tasks may have to themselves"
+        }
         (StepState::Ready, false) => "room on a host that may run it",
     };
     json!({
@@ -161,6 +203,7 @@
         "done": step.done_count,
         "waiting": step.pending_tasks.len(),
         "failed_runs": failed + step.gang_failed_runs.len(),
+        "crashes": explain_crashes(world, step),
         "hosts_good": step.advice.approved_hosts.len(),
         "hosts_bad": step.advice.rejected_hosts.len(),
         "waits_for": waits_for,
--- a/crates/cassiahoist_hosts/src/entries.rs
+++ b/crates/cassiahoist_hosts/src/entries.rs
@@ -79,15 +79,21 @@
 
 fn apply_entry(world: &mut World, item: StoreItem, now_ms: u64) {
     match item.value {
-        StoreValue::Host(entry) => apply_host_entry(world, *entry, now_ms),
-        StoreValue::Unreadable { reason } => {
-            let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{:?}", item.key));
-            world.log(log_record.with("reason", reason));
-        }
+        StoreValue::Host(entry) => match entry.validate(world.local.unix_ms) {
+            Ok(()) => apply_host_entry(world, *entry, now_ms),
+            Err(reason) => skip_entry(world, &item.key, &reason),
+        },
+        StoreValue::Unreadable { reason } => skip_entry(world, &item.key, &reason),
         _ => {}
     }
 }
 
+/// Skips an entry that another writer made. An earlier one of the same host holds.
+fn skip_entry(world: &mut World, key: &StoreKey, reason: &str) {
+    let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{key:?}"));
+    world.log(log_record.with("reason", reason));
+}
+
 fn apply_host_entry(world: &mut World, entry: HostEntry, now_ms: u64) {
     let Some(key) = world.hosts.find(&entry.name) else {
         let key = world.hosts.insert(Host::new(entry, now_ms));
--- a/crates/cassiahoist_jobs/src/job_rows.rs
+++ b/crates/cassiahoist_jobs/src/job_rows.rs
@@ -47,6 +47,8 @@
         added_at_ms: now_ms,
         ended_unix_ms: progress.ended_unix_ms,
         failure: progress.failure,
+        crash_changes: 0,
+        recorded_crash_changes: 0,
     });
     if progress.state.is_final() {
         return key;
--- a/crates/cassiahoist_jobs/src/lib.rs
+++ b/crates/cassiahoist_jobs/src/lib.rs
@@ -15,7 +15,7 @@
 mod query;
 mod relay;
 
-pub use job_rows::insert_job;
+pub use job_rows::{InheritedState, insert_job};
 
 use cassiahoist_world::prelude::*;
 
--- a/crates/cassiahoist_jobs/src/progress.rs
+++ b/crates/cassiahoist_jobs/src/progress.rs
@@ -12,7 +12,7 @@
     MAX_TRANSACTION_ENTRIES, StoreCompletion, StoreItem, StoreKey, StoreOp, StorePurpose, StoreReply,
     StoreValue, Transaction,
 };
-use cassiahoist_world::store_writes::{Flush, OpenCommit};
+use cassiahoist_world::store_writes::{CommittedJob, Flush, OpenCommit};
 
 use crate::job_rows::build_progress_record;
 
@@ -98,7 +98,7 @@
         let value = StoreValue::Progress(Box::new(build_progress_record(world, job)));
         transaction =
             transaction.with_expect(store_key.clone(), job.progress_revision).with_put(store_key, value);
-        commit.jobs.push((*key, job.state));
+        commit.jobs.push(CommittedJob { job: *key, state: job.state, crash_changes: job.crash_changes });
     }
     let timeout_ms = world.store_connection.call_timeout_ms();
     world.call_store(StorePurpose::RecordProgress(number), StoreOp::Commit(transaction), now_ms, timeout_ms);
@@ -126,22 +126,23 @@
     match completion.outcome {
         Ok(StoreReply::Committed { revision }) => {
             world.store_writes.latest_revision = world.store_writes.latest_revision.max(revision);
-            for (key, state) in commit.jobs {
-                if let Some(job) = world.jobs.get_mut(key) {
-                    job.recorded_state = state;
+            for committed in commit.jobs {
+                if let Some(job) = world.jobs.get_mut(committed.job) {
+                    job.recorded_state = committed.state;
+                    job.recorded_crash_changes = committed.crash_changes;
                     job.progress_revision = revision;
                 }
-                if state.is_final() {
-                    world.jobs.remove_steps(key);
+                if committed.state.is_final() {
+                    world.jobs.remove_steps(committed.job);
                 }
             }
         }
         Ok(StoreReply::Conflict { items }) => {
-            flush.failed_jobs.extend(commit.jobs.iter().map(|(key, _)| *key));
+            flush.failed_jobs.extend(commit.jobs.iter().map(|committed| committed.job));
             resolve_conflict(world, &commit, &items, now_ms);
         }
         Ok(_) | Err(_) => {
-            let jobs = commit.jobs.iter().map(|(key, _)| *key);
+            let jobs = commit.jobs.iter().map(|committed| committed.job);
             flush.failed_jobs.extend(jobs.clone());
             world.jobs.unrecorded_jobs.extend(jobs);
         }
@@ -166,19 +167,20 @@
         }
         None => {
             // The tables are kept after a lapse, and this daemon may hold the slice again.
-            world.jobs.unrecorded_jobs.extend(commit.jobs.iter().map(|(key, _)| *key));
+            world.jobs.unrecorded_jobs.extend(commit.jobs.iter().map(|committed| committed.job));
             return step_down(world, StepDownCause::Lapsed, now_ms);
         }
     }
-    for (key, _) in &commit.jobs {
-        let Some(job) = world.jobs.get_mut(*key) else { continue };
+    for committed in &commit.jobs {
+        let key = committed.job;
+        let Some(job) = world.jobs.get_mut(key) else { continue };
         let store_key = StoreKey::Progress(job.record.id);
         let stored = items.iter().find(|item| item.key == store_key);
         job.progress_revision = stored.map_or(0, |item| item.revision);
         let log_record = LogRecord::new(EventId::ProgressConflict).with("job", job.record.id);
         let log_record = log_record.with("revision", job.progress_revision);
         world.log(log_record);
-        world.jobs.unrecorded_jobs.insert(*key);
+        world.jobs.unrecorded_jobs.insert(key);
     }
 }
 
--- a/crates/cassiahoist_jobs/src/query.rs
+++ b/crates/cassiahoist_jobs/src/query.rs
@@ -65,15 +65,19 @@
     &world.calls.queued_jobs.insert(count).by_queue
 }
 
-/// Returns the state of a job that callers may see.
+/// Returns the state of a job that callers may see, with the reason of a failure.
 ///
 /// `None` if the job is not in the tables of this daemon. Completion and failure become visible only once they are
 /// recorded in the store.
-fn visible_state(world: &World, job: JobId) -> Option<JobState> {
+fn visible_state(world: &World, job: JobId) -> Option<HolderReply> {
     let job = world.jobs.get(world.jobs.find(&job)?)?;
-    Some(match job.state {
+    let state = match job.state {
         JobState::Completed | JobState::Failed if job.recorded_state != job.state => JobState::Running,
         state => state,
+    };
+    Some(match &job.failure {
+        Some(failure) if state == JobState::Failed => HolderReply::Failed(failure.reason),
+        _ => HolderReply::State(state),
     })
 }
 
@@ -96,9 +100,9 @@
 pub(crate) fn query_job_state(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(job) = world.calls.open.get(&number).map(|call| call.job) else { return };
     if world.holding.is_holding()
-        && let Some(state) = visible_state(world, job)
+        && let Some(reply) = visible_state(world, job)
     {
-        return world.answer_call(number, CallAnswer::State(state));
+        return apply_holder_reply(world, number, reply, now_ms);
     }
     if world.holding.is_holding() || world.holding.claim.is_none() {
         return query_store(world, number, now_ms);
@@ -136,28 +140,28 @@
     for (sender, message) in world.inbox.take_peer_messages(is_state_message) {
         match message {
             PeerMessage::StateRequest { call, job } => {
-                let state = if world.holding.is_holding() { visible_state(world, job) } else { None };
-                let reply = state.map_or(HolderReply::Unknown, HolderReply::State);
+                let reply = if world.holding.is_holding() { visible_state(world, job) } else { None };
+                let reply = reply.unwrap_or(HolderReply::Unknown);
                 let message = PeerMessage::StateReply { call, reply };
                 world.emit(Effect::SendPeerMessage { address: sender.address, message });
             }
-            PeerMessage::StateReply { call, reply } => apply_holder_reply(world, call, reply, now_ms),
+            PeerMessage::StateReply { call, reply } if is_querying_holder(world, call) => {
+                apply_holder_reply(world, call, reply, now_ms);
+            }
             _ => {}
         }
     }
 }
 
+fn is_querying_holder(world: &World, number: CallNumber) -> bool {
+    let call = world.calls.open.get(&number);
+    call.is_some_and(|call| matches!(call.stage, CallStage::QueryingHolder { .. }))
+}
+
 fn apply_holder_reply(world: &mut World, number: CallNumber, reply: HolderReply, now_ms: u64) {
-    let is_querying = world
-        .calls
-        .open
-        .get(&number)
-        .is_some_and(|call| matches!(call.stage, CallStage::QueryingHolder { .. }));
-    if !is_querying {
-        return;
-    }
     match reply {
         HolderReply::State(state) => world.answer_call(number, CallAnswer::State(state)),
+        HolderReply::Failed(reason) => world.answer_call(number, CallAnswer::Failed(reason)),
         HolderReply::Unknown => query_store(world, number, now_ms),
     }
 }
@@ -178,7 +182,8 @@
     let Some(call) = world.calls.open.get_mut(&number) else { return };
     match completion.outcome {
         Ok(StoreReply::Item(Some(StoreItem { value: StoreValue::Progress(progress), .. }))) => {
-            world.answer_call(number, CallAnswer::State(progress.state));
+            let answer = CallAnswer::of_job(progress.state, progress.failure.as_ref());
+            world.answer_call(number, answer);
         }
         // Without its progress the job may be in any state.
         Ok(StoreReply::Item(Some(StoreItem { value: StoreValue::Unreadable { reason }, .. }))) => {
--- a/crates/cassiahoist_placement/src/gang.rs
+++ b/crates/cassiahoist_placement/src/gang.rs
@@ -2,7 +2,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::hosts::HostKey;
-use cassiahoist_world::jobs::{StepKey, TaskKey};
+use cassiahoist_world::jobs::{Job, StepKey, TaskKey};
 use cassiahoist_world::prelude::*;
 use rustc_hash::FxHashMap;
 
@@ -98,7 +98,8 @@
     let step = world.jobs.steps.get(key)?;
     let member_count = step.tasks.len();
     let is_suspect = step.gang_crashes.is_suspect();
-    if is_suspect && is_gang_at_risk(world) {
+    let is_recorded = world.jobs.get(step.job).is_some_and(Job::has_recorded_crashes);
+    if is_suspect && (!is_recorded || is_gang_at_risk(world)) {
         return None;
     }
     let mut candidates: Vec<(HostKey, u32, Option<std::sync::Arc<str>>, u32)> =
--- a/crates/cassiahoist_placement/src/isolation.rs
+++ b/crates/cassiahoist_placement/src/isolation.rs
@@ -13,13 +13,19 @@
 /// If that start crashes the host, this is known by then.
 const QUIET_MS: u64 = 150;
 
-/// Hosts of a pool for each one that suspects may put at risk at a time. Those of one job may use half of these.
-const HOSTS_PER_SUSPECT: usize = 6;
+/// Hosts of a pool for each one on which a suspect may be on probation at a time.
+const HOSTS_PER_PROBATION: usize = 6;
+
+/// Hosts of a pool for each one that suspects may have lost at a time, as far as its fate is not known.
+const HOSTS_PER_LOSS: usize = 4;
 
 /// How many more hosts of a pool suspects may put at risk.
 #[derive(Debug)]
 pub(crate) struct Isolation {
+    /// For tasks under which one host was lost.
     remaining_hosts: usize,
+    /// For tasks under which several were. They are the more likely causes, and leave room for others.
+    remaining_for_repeated: usize,
 }
 
 impl Isolation {
@@ -31,26 +37,39 @@
 
     fn for_step(world: &World, step: StepKey) -> Option<Self> {
         let step = world.jobs.steps.get(step)?;
+        if !world.jobs.get(step.job)?.has_recorded_crashes() {
+            return Some(Self { remaining_hosts: 0, remaining_for_repeated: 0 });
+        }
         let pool = world.pool_of(step)?;
-        let hosts = world.hosts.iter_engaged().filter(|(_, host)| host.entry.pool == *pool);
-        let (mut host_count, mut at_risk_count, mut own_count) = (0, 0, 0);
-        for (_, host) in hosts {
+        let (mut host_count, mut on_probation, mut lost, mut of_job) = (0, 0, 0, 0);
+        for (_, host) in world.hosts.iter_engaged().filter(|(_, host)| host.entry.pool == *pool) {
             host_count += 1;
-            let suspect = host.isolated_run.and_then(|run| world.runs.rows.get(run));
-            at_risk_count += usize::from(suspect.is_some());
-            own_count += usize::from(suspect.is_some_and(|run| run.name.step.job == step.name.job));
+            let Some(suspect) = host.isolated_run.and_then(|run| world.runs.rows.get(run)) else { continue };
+            if host.unresponsive_since_ms.is_some() {
+                lost += 1;
+            } else {
+                on_probation += 1;
+            }
+            of_job += usize::from(suspect.name.step.job == step.name.job);
         }
-        let limit = (host_count / HOSTS_PER_SUSPECT).max(1);
-        let own_limit = (limit / 2).max(1);
-        let remaining_hosts = limit.saturating_sub(at_risk_count).min(own_limit.saturating_sub(own_count));
-        Some(Self { remaining_hosts })
+        let limit = (host_count / HOSTS_PER_PROBATION).max(1);
+        // One job leaves half of the hosts to the suspects of others.
+        let shared_limit = (limit / 2).max(1);
+        let below = |limit: usize, count: usize| limit.saturating_sub(count);
+        let remaining_hosts = below(limit, on_probation)
+            .min(below((host_count / HOSTS_PER_LOSS).max(1), lost))
+            .min(below(shared_limit, of_job));
+        let remaining_for_repeated = remaining_hosts.min(below(shared_limit, on_probation));
+        Some(Self { remaining_hosts, remaining_for_repeated })
     }
 
     /// Chooses a candidate for a suspect and counts its host as at risk.
     ///
     /// Hosts that have not crashed lately come first, then those whose loss costs least.
     pub fn choose(&mut self, world: &World, room: &PlacementRoom, task: &Task, now_ms: u64) -> Option<usize> {
-        if self.remaining_hosts == 0 {
+        let remaining =
+            if task.crashes.len() > 1 { self.remaining_for_repeated } else { self.remaining_hosts };
+        if remaining == 0 {
             return None;
         }
         let hosts = room.candidates.iter().enumerate();
@@ -61,6 +80,7 @@
         });
         let (position, _) = hosts.min_by_key(|(_, preference)| *preference)?;
         self.remaining_hosts -= 1;
+        self.remaining_for_repeated = self.remaining_for_repeated.saturating_sub(1);
         Some(position)
     }
 }
--- a/crates/cassiahoist_runs/src/crashes.rs
+++ b/crates/cassiahoist_runs/src/crashes.rs
@@ -43,6 +43,7 @@
         let Some(run) = world.runs.rows.get(*key) else { continue };
         let task = run.task;
         record_crash(world, *key, loss, now_ms);
+        settle_crash(world, *key);
         end_run(world, *key, RunEnding::Lapsed, &Arc::from(""), now_ms);
         give_up_crashing_task(world, task, now_ms);
     }
@@ -132,11 +133,23 @@
     }
 }
 
+/// Notes whether the host of a run was lost together with others of its rack. That shows only after a while.
+pub(crate) fn settle_crash(world: &mut World, key: RunKey) {
+    let Some(run) = world.runs.rows.get(key) else { return };
+    let (task, run_number) = (run.task, run.run_number);
+    let Some(host) = world.hosts.get(run.host).map(|host| &host.entry.name) else { return };
+    if world.hosts.was_lost_alone(host) == Some(false)
+        && let Some(crashes) = world.jobs.crashes_of_mut(task)
+    {
+        crashes.mark_common(run_number);
+    }
+}
+
 /// Fails the job of a task under which too many hosts have crashed, or two that leave no other cause.
 pub(crate) fn give_up_crashing_task(world: &mut World, key: TaskKey, now_ms: u64) {
     let Some(crashes) = world.jobs.crashes_of(key) else { return };
     let is_conclusive =
-        crashes.conclusive_crash().is_some_and(|crash| world.hosts.was_lost_alone(&crash.host));
+        crashes.conclusive_crash().is_some_and(|crash| world.hosts.was_lost_alone(&crash.host).is_some());
     if !is_conclusive && !crashes.is_exhausted() {
         return;
     }
@@ -282,6 +295,7 @@
         heard_after_ms: host.last_answer_at_ms.saturating_sub(run.start_sent_at_ms),
         lost_after_ms: lost_at_ms.saturating_sub(run.start_sent_at_ms),
         is_isolated: host.isolated_run == Some(key),
+        is_common: false,
         is_newest: run.start_sent_at_ms + NEWEST_SPAN_MS >= newest_start_at_ms(world, host),
     })
 }
@@ -308,8 +322,11 @@
 }
 
 fn mark_unrecorded(world: &mut World, task: TaskKey) {
-    if let Some((_, step, _)) = world.jobs.task_context(task) {
-        world.jobs.unrecorded_jobs.insert(step.job);
+    let Some((_, step, _)) = world.jobs.task_context(task) else { return };
+    let job = step.job;
+    world.jobs.unrecorded_jobs.insert(job);
+    if let Some(job) = world.jobs.get_mut(job) {
+        job.crash_changes += 1;
     }
 }
 
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -10,7 +10,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::adopt::adopt_run;
-use crate::crashes::{give_up_crashing_task, withdraw_crash};
+use crate::crashes::{give_up_crashing_task, settle_crash, withdraw_crash};
 use crate::lease_expiry::reset_restarted_host;
 use crate::lifecycle::reattach_run;
 use crate::outcome::{end_run, finish_task, record_failed_run};
@@ -212,6 +212,9 @@
                 .with("confirmed_ms_ago", now_ms.saturating_sub(row.confirmed_at_ms));
             world.log(log_record);
         }
+        if maybe_lost {
+            settle_crash(world, run);
+        }
         end_run(world, run, RunEnding::Lapsed, &std::sync::Arc::from(""), now_ms);
         if maybe_lost {
             give_up_crashing_task(world, task, now_ms);
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -8,7 +8,7 @@
 use cassiahoist_world::runs::{RunKey, RunState, StopReason};
 use cassiahoist_world::unsent::UnsentCause;
 
-use crate::crashes::{suspect_new_runs, withdraw_crashes};
+use crate::crashes::{suspect_new_runs, withdraw_crash, withdraw_crashes};
 use crate::health::record_failure;
 use crate::host_lists::apply_host_lists;
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
@@ -254,6 +254,7 @@
                     }
                     _ => log_record.with("outcome", "Unknown"),
                 });
+                world.hosts.record_loss(completion.order.host, now_ms);
             }
             note_refused_connection(world, completion, now_ms);
         }
@@ -268,7 +269,6 @@
     };
     if completion.outcome == OrderOutcome::NotSent(UnsentCause::ConnectFailed) && !host.refuses_connections {
         host.refuses_connections = true;
-        world.hosts.record_loss(key, now_ms);
         suspect_new_runs(world, key, now_ms);
     }
 }
@@ -366,6 +366,8 @@
         }
     };
     world.log(log_record);
+    // A host that was lost meanwhile was lost without it.
+    withdraw_crash(world, run.task, run.run_number);
     let delay_ms = if run.stop_reason.is_none() { retry_ms } else { 0 };
     requeue_placed_task(world, key, run.task, now_ms + delay_ms);
 }
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -327,6 +327,7 @@
     fn record_state(&mut self, job: JobId, status: u16, answer: CallAnswer) {
         let state = match answer {
             CallAnswer::State(state) => callers::state_name(state),
+            CallAnswer::Failed(_) => "failed",
             _ => "",
         };
         self.platform
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -185,9 +185,7 @@
             let outcome = OrderOutcome::NotSent(UnsentCause::ConnectTimeout);
             return self.fail_connected_order(open_call, outcome, report_at_ms);
         }
-        let refuses =
-            host_index.is_some_and(|number| self.platform.registered_hosts[number].starts_at_ms.is_some());
-        if refuses {
+        if self.is_host_down(&order.address) {
             let (outcome, now_ms) = (OrderOutcome::NotSent(UnsentCause::ConnectFailed), self.now_ms);
             return self.fail_connected_order(open_call, outcome, now_ms);
         }
@@ -284,6 +282,12 @@
         }
     }
 
+    /// Returns whether the process of the host at an address has crashed and not started again.
+    fn is_host_down(&self, address: &str) -> bool {
+        let host_index = self.platform.find_host(address);
+        host_index.is_some_and(|number| self.platform.registered_hosts[number].starts_at_ms.is_some())
+    }
+
     fn host_started_unix_ms(&self, address: &str) -> u64 {
         let host_index = self.platform.find_host(address);
         host_index.map_or(0, |number| self.platform.registered_hosts[number].host.started_unix_ms)
@@ -293,7 +297,8 @@
         let now_ms = self.now_ms;
         if let Some(call) = self.calls.get(&number)
             && let Target::Host(order) = &call.target
-            && self.host_started_unix_ms(&order.address) != call.host_started_unix_ms
+            && (self.host_started_unix_ms(&order.address) != call.host_started_unix_ms
+                || self.is_host_down(&order.address))
         {
             // The host process to which the call was sent has ended.
             if !call.outcome_sent {
--- a/crates/cassiahoist_standins/src/store.rs
+++ b/crates/cassiahoist_standins/src/store.rs
@@ -163,8 +163,9 @@
     ) -> CallOutcome {
         self.advance(now_ms);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: FxHashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-        let parameter = |name: &str| query.get(name).copied().unwrap_or_default();
+        let query = query.split('&').filter_map(|pair| pair.split_once('='));
+        let query: FxHashMap<&str, String> = query.map(|(name, value)| (name, decode_query(value))).collect();
+        let parameter = |name: &str| query.get(name).map(String::as_str).unwrap_or_default();
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         match (method, path) {
             ("GET", "/-/kv-key") => self.read_key(parameter("key")),
@@ -290,3 +291,17 @@
         }
     }
 }
+
+/// Decodes a value of a query, in which `%` begins a byte as two hexadecimal digits.
+fn decode_query(value: &str) -> String {
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value.as_bytes();
+    while let Some((first, others)) = rest.split_first() {
+        let escaped = if *first == b'%' { others.get(..2) } else { None };
+        let decoded = escaped.and_then(|digits| std::str::from_utf8(digits).ok());
+        let decoded = decoded.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        bytes.push(decoded.unwrap_or(*first));
+        rest = if decoded.is_some() { &others[2..] } else { others };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/crates/cassiahoist_standins/tests/systems/host_restarts.rs
+++ b/crates/cassiahoist_standins/tests/systems/host_restarts.rs
@@ -87,13 +87,24 @@
     assert_eq!(holder.app.world().jobs.tasks[task].last_run_number, 1);
 }
 
+/// Lets the store accept the progress that the last tick wrote, and what follows from that.
+fn record_progress(holder: &mut TestDaemon) {
+    for _ in 0..4 {
+        for call in holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_))) {
+            holder.answer_store(call, Ok(StoreReply::Committed { revision: 95 }));
+        }
+        holder.tick(50);
+    }
+}
+
+/// The task was new on the host, so that its start waits until the store has this.
 #[test]
 fn task_missing_after_a_host_restart_starts_again() {
     let mut holder = restarted_after_a_start();
-    holder.tick(50);
+    record_progress(&mut holder);
     holder.report_lists(0, running_lists(Vec::new()));
     holder.app.world_mut().hosts.iter_mut().for_each(|(_, host)| host.in_roster = true);
-    holder.tick(50);
+    record_progress(&mut holder);
     let task = holder.task(&task_name(1, 0, 0));
     assert_eq!(holder.app.world().jobs.tasks[task].last_run_number, 2);
 }
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod calls;
 mod claims;
+mod crashes;
 mod decision_lines;
 mod declarations;
 mod engagement;
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use crate::record::{JobRecord, JobState};
+use crate::record::{FailureReason, JobFailure, JobRecord, JobState};
 use crate::spec::JobSpec;
 
 /// Number of an open call, unique within a daemon.
@@ -48,6 +48,8 @@
     Accepted,
     /// The job has this state.
     State(JobState),
+    /// The job failed for this reason.
+    Failed(FailureReason),
     /// The cancellation is stored.
     Cancelled,
     /// The queue has this number of queued jobs.
@@ -62,6 +64,17 @@
     },
 }
 
+impl CallAnswer {
+    /// Returns the answer for a job in a state; `failure` is `None` unless the reason of its failure is known.
+    #[must_use]
+    pub fn of_job(state: JobState, failure: Option<&JobFailure>) -> Self {
+        match failure.filter(|_| state == JobState::Failed) {
+            Some(failure) => Self::Failed(failure.reason),
+            None => Self::State(state),
+        }
+    }
+}
+
 /// Action that a daemon requests from a peer.
 ///
 /// It does so while the store does not answer it.
--- a/crates/cassiahoist_world/src/crashes.rs
+++ b/crates/cassiahoist_world/src/crashes.rs
@@ -18,12 +18,17 @@
 /// Time from a start order to the loss of its host within which the loss is immediate, in milliseconds.
 const IMMEDIATE_MS: u64 = 150;
 
-/// Number of early crashes after which a task is given up.
+/// Number of early crashes that were not common after which a task is given up.
 ///
 /// Two are enough if both are immediate and the task was alone in the second. A third one keeps tasks clear that were lost
 /// twice with a rack or a flapping host.
 pub const MAX_EARLY_CRASHES: usize = 3;
 
+/// Number of early crashes, common ones included, after which a task is given up.
+///
+/// It bounds what a task can do whose crashes coincide with those of others.
+pub const MAX_ALL_EARLY_CRASHES: usize = 4;
+
 /// Number of crashes in a row, early or late, after which a task is given up.
 pub const MAX_CRASHES: usize = 6;
 
@@ -52,6 +57,8 @@
     pub is_newest: bool,
     /// Whether the run was a suspect that had the host to itself.
     pub is_isolated: bool,
+    /// Whether other hosts of its rack were lost at the same time, so that the task is hardly the cause.
+    pub is_common: bool,
 }
 
 impl Crash {
@@ -128,17 +135,26 @@
     /// Returns whether the task is to be given up.
     #[must_use]
     pub fn is_exhausted(&self) -> bool {
-        let early_count = self.crashes.iter().filter(|crash| crash.is_early()).count();
-        early_count >= MAX_EARLY_CRASHES || self.crashes.len() >= MAX_CRASHES
+        let early = self.crashes.iter().filter(|crash| crash.is_early());
+        early.clone().filter(|crash| !crash.is_common).count() >= MAX_EARLY_CRASHES
+            || early.count() >= MAX_ALL_EARLY_CRASHES
+            || self.crashes.len() >= MAX_CRASHES
     }
 
     /// Returns the latest crash if it leaves hardly another cause than the task: the second immediate one, with the task
-    /// alone on the host.
+    /// alone on the host. Whether the host was lost alone has to be known, too.
     #[must_use]
     pub fn conclusive_crash(&self) -> Option<&Crash> {
-        let latest = self.crashes.last().filter(|crash| crash.is_isolated && crash.is_immediate());
-        let immediate_count = self.crashes.iter().filter(|crash| crash.is_immediate()).count();
-        latest.filter(|_| immediate_count >= 2)
+        let mut immediate = self.crashes.iter().filter(|crash| crash.is_immediate() && !crash.is_common);
+        let latest = self.crashes.last().filter(|crash| crash.is_isolated);
+        latest.filter(|latest| immediate.clone().any(|crash| crash == *latest) && immediate.nth(1).is_some())
+    }
+
+    /// Marks the crash of a run as common.
+    pub fn mark_common(&mut self, run_number: u64) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.run_number == run_number) {
+            crash.is_common = true;
+        }
     }
 
     /// Returns how long the next run has to last to clear the task, in milliseconds.
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -40,6 +40,33 @@
     pub labels: Vec<Arc<str>>,
 }
 
+/// Largest amount of a resource that an entry may give: a million cores, in thousandths, or a pebibyte, in mebibytes.
+///
+/// A greater one comes from another writer, and sums with it might overflow.
+const MAX_RESOURCE: u64 = 1 << 30;
+
+/// How far the start of an incarnation may lie in the future by this daemon's wall clock, which may be wrong, in milliseconds.
+const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1_000;
+
+impl HostEntry {
+    /// Checks that the values are possible, at a Unix time in milliseconds.
+    ///
+    /// # Errors
+    /// Returns the reason if another writer must have made the entry. A start far in the future would make every later entry
+    /// of the host seem outdated, and a huge capacity would attract all work.
+    pub fn validate(&self, unix_ms: u64) -> Result<(), String> {
+        if self.started_unix_ms > unix_ms.saturating_add(MAX_CLOCK_LEAD_MS) {
+            return Err(format!("the start {} lies in the future", self.started_unix_ms));
+        }
+        let capacity = &self.capacity;
+        let largest = capacity.cpu_milli.max(capacity.memory_mib).max(u64::from(capacity.accelerators));
+        if largest > MAX_RESOURCE {
+            return Err(format!("impossible capacity {capacity:?}"));
+        }
+        Ok(())
+    }
+}
+
 /// Whether a host has reported all its runs to this holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Adoption {
@@ -70,7 +97,7 @@
 /// A host with a poll open shows its loss at once, another one at its next order.
 const COMMON_LOSS_MS: u64 = 1_000;
 
-/// A host that began to refuse connections.
+/// A host that became unresponsive.
 #[derive(Clone, Debug)]
 struct Loss {
     host: HostName,
@@ -363,7 +390,7 @@
     engaged: BTreeSet<HostKey>,
     /// When hosts last crashed, by address, in monotonic milliseconds.
     crashed_at_ms: FxHashMap<String, u64>,
-    /// Hosts that began to refuse connections lately, the earliest first.
+    /// Hosts that became unresponsive lately, the earliest first.
     losses: VecDeque<Loss>,
     /// When to engage further hosts next, in monotonic milliseconds.
     pub next_engage_at_ms: u64,
@@ -478,7 +505,7 @@
         self.crashed_at_ms.insert(address.into(), now_ms);
     }
 
-    /// Records that a host began to refuse connections.
+    /// Records that a host became unresponsive.
     pub fn record_loss(&mut self, key: HostKey, now_ms: u64) {
         let Some(host) = self.rows.get(key) else { return };
         let loss = Loss {
@@ -492,18 +519,18 @@
         self.losses.push_back(loss);
     }
 
-    /// Returns whether the loss of a host is known and no other host of its rack was lost at that time.
+    /// Returns whether no other host of a lost host's rack was lost at the same time. `None` if its loss is not known.
     ///
     /// Racks and failure domains lose their hosts together.
     #[must_use]
-    pub fn was_lost_alone(&self, name: &HostName) -> bool {
-        let Some(loss) = self.losses.iter().rfind(|loss| loss.host == *name) else { return false };
+    pub fn was_lost_alone(&self, name: &HostName) -> Option<bool> {
+        let loss = self.losses.iter().rfind(|loss| loss.host == *name)?;
         let is_together = |other: &&Loss| {
             other.host != *name
                 && other.rack == loss.rack
                 && other.lost_at_ms.abs_diff(loss.lost_at_ms) <= COMMON_LOSS_MS
         };
-        !self.losses.iter().any(|other| is_together(&other))
+        Some(!self.losses.iter().any(|other| is_together(&other)))
     }
 
     /// Returns whether the host at an address has crashed lately.
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -40,6 +40,18 @@
     pub ended_unix_ms: u64,
     /// Why it failed; `None` unless it did.
     pub failure: Option<JobFailure>,
+    /// Number of changes of the crashes under its tasks.
+    pub crash_changes: u64,
+    /// Number of those changes that are in the store.
+    pub recorded_crash_changes: u64,
+}
+
+impl Job {
+    /// Returns whether the store has all crashes under the job's tasks, so that a later holder knows them.
+    #[must_use]
+    pub fn has_recorded_crashes(&self) -> bool {
+        self.recorded_crash_changes == self.crash_changes
+    }
 }
 
 /// State of a step.
--- a/crates/cassiahoist_world/src/peer.rs
+++ b/crates/cassiahoist_world/src/peer.rs
@@ -8,7 +8,7 @@
 
 use crate::advice::{AdviceAnswer, AdviceCall};
 use crate::calls::{CallAnswer, CallNumber, RelayAction};
-use crate::record::{JobRecord, JobState};
+use crate::record::{FailureReason, JobRecord, JobState};
 use crate::start_relay::{RelayedAnswers, StartBatch};
 
 /// State of a job as the holder knows it.
@@ -17,6 +17,8 @@
 pub enum HolderReply {
     /// The job has this state.
     State(JobState),
+    /// The job failed for this reason.
+    Failed(FailureReason),
     /// The daemon does not know the job or is not the holder. Only the store can tell whether the job exists.
     Unknown,
 }
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -5,13 +5,24 @@
 use crate::keys::{HostKey, JobKey};
 use crate::record::JobState;
 
+/// What a commit writes of one job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CommittedJob {
+    /// Row of the job.
+    pub job: JobKey,
+    /// State that is written.
+    pub state: JobState,
+    /// Number of changes of the crashes under its tasks that are written.
+    pub crash_changes: u64,
+}
+
 /// One transaction of a flush whose result is open.
 #[derive(Clone, Debug, Default)]
 pub struct OpenCommit {
     /// Number of the commit, which its store call carries.
     pub number: u64,
     /// Jobs in the transaction, with the state that it writes.
-    pub jobs: Vec<(JobKey, JobState)>,
+    pub jobs: Vec<CommittedJob>,
 }
 
 /// A flush: transactions that write every job that had changed when it began.
