Blame tasks for losses that no other cause explains, and keep others off their hosts

Other jobs were also placed on a host just after such a start, and lost with it.

Change: a loss counts as common only if others at the same time have no new run that explains them: one in the rack, or two anywhere. For 100 ms after a start of a queue under caution no other job gets the host, and such starts prefer hosts whose loss costs others least.

--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -27,8 +27,11 @@
 /// Where many hosts begin to fail at a time, most have failed nothing yet when a failed task runs again.
 const PROVEN_MS: u64 = 600;
 
-/// Cost of losing a run whose step allows no copies, as a multiple of that of another run.
-const SINGLE_RUN_COST: u32 = 4;
+/// Cost of losing a run for which its job waits, as a multiple of that of another run.
+const WAITING_RUN_COST: u32 = 8;
+
+/// Time after a start that may crash its host for which no other job gets the host, in milliseconds.
+const UNPROVEN_MS: u64 = 100;
 
 /// Minimum time between rounds of placement, in milliseconds.
 ///
@@ -173,10 +176,10 @@
     SearchOutcome::HasRoom
 }
 
-/// Returns whether tasks of the step's queue may crash their hosts, so that few runs should share one.
-fn is_spread(world: &World, step: &Step, now_ms: u64) -> bool {
+/// Returns whether tasks of the step's queue may crash their hosts.
+fn is_cautious(world: &World, step: &Step, now_ms: u64) -> bool {
     let queue = world.jobs.get(step.job).map(|job| &job.record.policy.queue);
-    let until_ms = queue.and_then(|queue| world.runs.spread_until_ms.get(queue));
+    let until_ms = queue.and_then(|queue| world.runs.cautious_until_ms.get(queue));
     until_ms.is_some_and(|until_ms| now_ms < *until_ms)
 }
 
@@ -238,12 +241,12 @@
 
 impl PlacementRoom {
     fn find(world: &World, step: &Step, requirements: &StepRequirements<'_>, now_ms: u64) -> Self {
-        let is_spread = is_spread(world, step, now_ms);
+        let is_cautious = is_cautious(world, step, now_ms);
         let candidates = startable_hosts(world, step, requirements, now_ms)
             .map(|(key, host)| (key, host, requirements.tasks_that_fit(host)))
             .filter(|(_, _, fitting_tasks)| *fitting_tasks > 0)
             .map(|(key, host, fitting_tasks)| {
-                (build_candidate(world, requirements, key, host, is_spread, now_ms), fitting_tasks)
+                (build_candidate(world, requirements, key, host, is_cautious, now_ms), fitting_tasks)
             });
         Self { candidates: candidates.collect(), task_size: requirements.reserved_resources }
     }
@@ -307,6 +310,7 @@
     all_hosts.into_iter().flatten().chain(approved_hosts).filter(move |(key, host)| {
         host.in_roster
             && host.accepts_new_runs(now_ms)
+            && !host.is_unproven_for(requirements.step.job, now_ms)
             && requirements.is_eligible(host)
             && (!needs_ticket || valid_ticket(step, *key, host, now_ms).is_some())
     })
@@ -350,7 +354,7 @@
     requirements: &StepRequirements<'_>,
     key: HostKey,
     host: &Host,
-    is_spread: bool,
+    is_cautious: bool,
     now_ms: u64,
 ) -> Candidate {
     let off_data_rack = requirements.spec.data_rack.as_ref().is_some_and(|rack| !host.has_label(rack));
@@ -363,19 +367,22 @@
         off_data_rack,
         would_interfere: would_interfere(world, requirements, host),
         failures: host.standing.failures,
-        loss_cost: if is_spread { loss_cost(world, host, requirements.step) } else { 0 },
+        loss_cost: if is_cautious { loss_cost(world, host, requirements.step) } else { 0 },
     }
 }
 
 /// Returns what the loss of a host would cost other jobs than that of a step.
 ///
-/// A run counts for more if its step allows no copies, since its task waits until the loss is certain.
+/// A run counts for more if its job waits for it and its step allows no copies, since its task waits until the loss is
+/// certain.
 pub(crate) fn loss_cost(world: &World, host: &Host, step: StepName) -> u32 {
     let runs = host.runs.iter().filter_map(|run| world.runs.rows.get(*run));
     let others = runs.filter(|run| run.name.step.job != step.job);
-    let allows_copies =
-        |task| world.jobs.task_context(task).is_some_and(|(_, _, spec)| spec.allows_copies && !spec.gang);
-    others.map(|run| if allows_copies(run.task) { 1 } else { SINGLE_RUN_COST }).sum()
+    let waits = |task| {
+        let context = world.jobs.task_context(task);
+        context.is_some_and(|(_, _, spec)| !spec.runs_until_cancelled && (spec.gang || !spec.allows_copies))
+    };
+    others.map(|run| if waits(run.task) { WAITING_RUN_COST } else { 1 }).sum()
 }
 
 /// Returns whether serving tasks and fillers would share the host.
@@ -412,6 +419,7 @@
     }
     let (name, checkpoint, ready_since_ms) = (task.name, Arc::clone(&task.checkpoint), step.ready_since_ms);
     let ticket = valid_ticket(step, host_key, host, now_ms).cloned();
+    let is_cautious = is_cautious(world, step, now_ms);
     let Some(job) = world.jobs.get(step.job) else { return };
     let argument: Arc<str> = job.record.spec.argument.as_str().into();
     let host_name = host.entry.name.clone();
@@ -423,6 +431,9 @@
     }
     if let Some(host) = world.hosts.get_mut(host_key) {
         host.last_start_at_ms = now_ms;
+        if is_cautious {
+            host.unproven = Some((name.step.job, now_ms + UNPROVEN_MS));
+        }
         host.lease_end_ms = host.lease_end_ms.max(now_ms + world.local.bounds.max_run_lease_ms());
         host.poll.next_ms = host.poll.next_ms.min(now_ms);
     }
--- a/crates/cassiahoist_runs/src/crashes.rs
+++ b/crates/cassiahoist_runs/src/crashes.rs
@@ -19,8 +19,8 @@
 /// Time for which a silent host may still turn out to refuse connections, in milliseconds.
 const REFUSAL_WAIT_MS: u64 = 300;
 
-/// Time from a crash for which new tasks of the same queue are spread, in milliseconds.
-const SPREAD_MS: u64 = 15_000;
+/// Time from a crash for which tasks of the same queue are placed with caution, in milliseconds.
+const CAUTION_MS: u64 = 15_000;
 
 /// Number of crashes from which even late ones are recorded in the store.
 const RECORDED_CRASHES: usize = 2;
@@ -62,6 +62,15 @@
     }
 }
 
+/// Records the loss of a host that became unresponsive, and whether one of its new runs may be the cause.
+pub(crate) fn record_loss(world: &mut World, host: HostKey, now_ms: u64) {
+    let Some(row) = world.hosts.get(host) else { return };
+    let newest_at_ms = newest_start_at_ms(world, row);
+    let is_explained = row.isolated_run.is_some()
+        || (newest_at_ms > 0 && row.last_answer_at_ms <= newest_at_ms + NEWEST_SPAN_MS);
+    world.hosts.record_loss(host, is_explained, now_ms);
+}
+
 /// Withdraws the crashes of a host that answers in the same incarnation.
 pub(crate) fn withdraw_crashes(world: &mut World, host: HostKey) {
     let Some(row) = world.hosts.get_mut(host) else { return };
@@ -102,7 +111,7 @@
         .with("heard_after_ms", crash.heard_after_ms)
         .with("lost_after_ms", crash.lost_after_ms);
     if is_likely_cause {
-        spread_queue(world, task, now_ms);
+        place_cautiously(world, task, now_ms);
     }
     let Some(crashes) = world.jobs.crashes_of_mut(task) else { return };
     if crashes.record(crash) {
@@ -123,17 +132,17 @@
     }
 }
 
-/// Spreads the new tasks of a task's queue for a while.
+/// Lets the tasks of a task's queue avoid hosts on which much would be lost, for a while.
 ///
-/// Others of its tasks may crash their hosts too, and then fewer runs are lost at a time.
-fn spread_queue(world: &mut World, task: TaskKey, now_ms: u64) {
+/// Others of them may crash their hosts, too.
+fn place_cautiously(world: &mut World, task: TaskKey, now_ms: u64) {
     let job = world.jobs.task_context(task).and_then(|(_, step, _)| world.jobs.get(step.job));
     if let Some(queue) = job.map(|job| job.record.policy.queue.clone()) {
-        world.runs.spread_until_ms.insert(queue, now_ms + SPREAD_MS);
+        world.runs.cautious_until_ms.insert(queue, now_ms + CAUTION_MS);
     }
 }
 
-/// Notes whether the host of a run was lost together with others of its rack. That shows only after a while.
+/// Notes whether the host of a run was lost together with others. That shows only after a while.
 pub(crate) fn settle_crash(world: &mut World, key: RunKey) {
     let Some(run) = world.runs.rows.get(key) else { return };
     let (task, run_number) = (run.task, run.run_number);
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -8,7 +8,7 @@
 use cassiahoist_world::runs::{RunKey, RunState, StopReason};
 use cassiahoist_world::unsent::UnsentCause;
 
-use crate::crashes::{suspect_new_runs, withdraw_crash, withdraw_crashes};
+use crate::crashes::{record_loss, suspect_new_runs, withdraw_crash, withdraw_crashes};
 use crate::health::record_failure;
 use crate::host_lists::apply_host_lists;
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
@@ -254,7 +254,7 @@
                     }
                     _ => log_record.with("outcome", "Unknown"),
                 });
-                world.hosts.record_loss(completion.order.host, now_ms);
+                record_loss(world, completion.order.host, now_ms);
             }
             note_refused_connection(world, completion, now_ms);
         }
--- a/crates/cassiahoist_world/src/crashes.rs
+++ b/crates/cassiahoist_world/src/crashes.rs
@@ -57,7 +57,7 @@
     pub is_newest: bool,
     /// Whether the run was a suspect that had the host to itself.
     pub is_isolated: bool,
-    /// Whether other hosts of its rack were lost at the same time, so that the task is hardly the cause.
+    /// Whether other hosts were lost at the same time without such a task, so that this one is hardly the cause.
     pub is_common: bool,
 }
 
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -95,7 +95,10 @@
 /// Largest time between the losses of hosts that are lost together, in milliseconds.
 ///
 /// A host with a poll open shows its loss at once, another one at its next order.
-const COMMON_LOSS_MS: u64 = 1_000;
+const COMMON_LOSS_MS: u64 = 500;
+
+/// Number of other hosts, wherever they are, whose loss at the same time shows a common cause.
+const COMMON_LOSSES: usize = 2;
 
 /// A host that became unresponsive.
 #[derive(Clone, Debug)]
@@ -103,6 +106,7 @@
     host: HostName,
     rack: Option<Arc<str>>,
     lost_at_ms: u64,
+    is_explained: bool,
 }
 
 /// State of the regular polls of a host; at most one is open.
@@ -220,6 +224,9 @@
     pub refuses_connections: bool,
     /// When a start order was last issued to the host, in monotonic milliseconds; 0 if none was.
     pub last_start_at_ms: u64,
+    /// Job of which a task started lately that may crash the host, and until when others avoid the host, in monotonic
+    /// milliseconds.
+    pub unproven: Option<(JobId, u64)>,
     /// Suspect that has the host to itself; no other task starts there meanwhile.
     pub isolated_run: Option<RunKey>,
     /// Tasks and run numbers whose crash was recorded when the host's lease expired.
@@ -267,6 +274,7 @@
             standing: Standing::default(),
             refuses_connections: false,
             last_start_at_ms: 0,
+            unproven: None,
             isolated_run: None,
             expired_suspects: Vec::new(),
             filler_pace_percent: 100,
@@ -318,6 +326,12 @@
         with_row.chain(self.orphans.steps.iter().copied()).filter(|other| *other == step).count() as u32
     }
 
+    /// Returns whether a task of another job started lately that may crash the host.
+    #[must_use]
+    pub fn is_unproven_for(&self, job: JobId, now_ms: u64) -> bool {
+        self.unproven.is_some_and(|(other, until_ms)| other != job && now_ms < until_ms)
+    }
+
     /// Returns whether new runs may start on the host, regardless of free resources.
     #[must_use]
     pub fn accepts_new_runs(&self, now_ms: u64) -> bool {
@@ -505,13 +519,14 @@
         self.crashed_at_ms.insert(address.into(), now_ms);
     }
 
-    /// Records that a host became unresponsive.
-    pub fn record_loss(&mut self, key: HostKey, now_ms: u64) {
+    /// Records that a host became unresponsive; `is_explained` if a run that had just started there may be the cause.
+    pub fn record_loss(&mut self, key: HostKey, is_explained: bool, now_ms: u64) {
         let Some(host) = self.rows.get(key) else { return };
         let loss = Loss {
             host: host.entry.name.clone(),
             rack: host.rack().cloned(),
             lost_at_ms: host.unresponsive_since_ms.unwrap_or(now_ms),
+            is_explained,
         };
         while self.losses.front().is_some_and(|loss| now_ms >= loss.lost_at_ms + LOSS_MEMORY_MS) {
             self.losses.pop_front();
@@ -519,18 +534,20 @@
         self.losses.push_back(loss);
     }
 
-    /// Returns whether no other host of a lost host's rack was lost at the same time. `None` if its loss is not known.
+    /// Returns whether a host was lost without others that no new run explains. `None` if its loss is not known.
     ///
-    /// Racks and failure domains lose their hosts together.
+    /// Racks, failure domains and platforms lose hosts together.
     #[must_use]
     pub fn was_lost_alone(&self, name: &HostName) -> Option<bool> {
         let loss = self.losses.iter().rfind(|loss| loss.host == *name)?;
-        let is_together = |other: &&Loss| {
+        let others = self.losses.iter().filter(|other| {
             other.host != *name
-                && other.rack == loss.rack
+                && !other.is_explained
                 && other.lost_at_ms.abs_diff(loss.lost_at_ms) <= COMMON_LOSS_MS
-        };
-        Some(!self.losses.iter().any(|other| is_together(&other)))
+        });
+        let is_common =
+            others.clone().any(|other| other.rack == loss.rack) || others.count() >= COMMON_LOSSES;
+        Some(!is_common)
     }
 
     /// Returns whether the host at an address has crashed lately.
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -115,8 +115,10 @@
     pub stopping: FxHashSet<RunKey>,
     /// Runs of tasks under which hosts were lost, which have not outlived their probation.
     pub on_probation: BTreeSet<RunKey>,
-    /// Until when new tasks of a queue are spread, in monotonic milliseconds, since its tasks may crash their hosts.
-    pub spread_until_ms: FxHashMap<QueueName, u64>,
+    /// Until when tasks of a queue avoid hosts on which much would be lost, in monotonic milliseconds.
+    ///
+    /// One of its tasks is suspected of crashing its hosts, and others may do so too.
+    pub cautious_until_ms: FxHashMap<QueueName, u64>,
     /// When to look for stalled runs next, in monotonic milliseconds.
     pub next_stall_check_at_ms: u64,
     /// When to compare the pace of fillers with that of their hosts next, in monotonic milliseconds.
@@ -138,7 +140,7 @@
         self.rows.clear();
         self.stopping.clear();
         self.on_probation.clear();
-        self.spread_until_ms.clear();
+        self.cautious_until_ms.clear();
         self.unsent_starts.clear();
         self.start_window = StartWindow::default();
         self.start_budget = StartBudget::default();
