--- a/crates/cassiahoist_runs/src/crashes.rs
+++ b/crates/cassiahoist_runs/src/crashes.rs
@@ -28,8 +28,8 @@
 /// What shows that a host's runs have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostLoss {
-    /// Its lease expired while it was silent.
-    LeaseExpired,
+    /// It refuses connections, or its lease expired while it was silent. It may be alive.
+    Silent,
     /// Another incarnation, or another host, answers in its place.
     Restarted,
 }
@@ -57,7 +57,7 @@
     let runs: Vec<RunKey> = row.runs.iter().copied().collect();
     for run in runs {
         if early_crash(world, run, now_ms).is_some() {
-            record_crash(world, run, HostLoss::LeaseExpired, now_ms);
+            record_crash(world, run, HostLoss::Silent, now_ms);
         }
     }
 }
@@ -76,7 +76,7 @@
     let Some(row) = world.hosts.get_mut(host) else { return };
     row.refuses_connections = false;
     world.store_writes.roster_stale |= row.end_silence();
-    let expired = std::mem::take(&mut row.expired_suspects);
+    let expired = std::mem::take(&mut row.uncertain_crashes);
     let present = row.runs.iter().filter_map(|run| world.runs.rows.get(*run));
     let present = present.filter(|run| !run.maybe_lost).map(|run| (run.task, run.run_number));
     let suspects: Vec<(TaskKey, u64)> = expired.into_iter().chain(present).collect();
@@ -124,11 +124,11 @@
             world.store_writes.crashes_unrecorded = true;
         }
     }
-    if loss == HostLoss::LeaseExpired
+    if loss == HostLoss::Silent
         && let Some(host) = world.hosts.get_mut(host)
-        && !host.expired_suspects.contains(&(task, run_number))
+        && !host.uncertain_crashes.contains(&(task, run_number))
     {
-        host.expired_suspects.push((task, run_number));
+        host.uncertain_crashes.push((task, run_number));
     }
 }
 
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -94,7 +94,7 @@
         .with("answered_ms_ago", now_ms.saturating_sub(host.last_answer_at_ms))
         .with("lease_ended_ms_ago", now_ms.saturating_sub(host.lease_end_ms));
     world.log(log_record);
-    end_lost_runs(world, &runs, HostLoss::LeaseExpired, "its lease expired", now_ms);
+    end_lost_runs(world, &runs, HostLoss::Silent, "its lease expired", now_ms);
 }
 
 /// Resets the row of a restarted host and ends its earlier runs.
@@ -123,7 +123,7 @@
     host.refuses_connections = false;
     host.last_start_at_ms = 0;
     host.silent_jobs = None;
-    host.expired_suspects.clear();
+    host.uncertain_crashes.clear();
     let was_listed = |run: &&RunKey| world.runs.rows.get(**run).is_some_and(|run| run.listed_by_host);
     let runs: Vec<RunKey> = host.runs.iter().filter(was_listed).copied().collect();
     if runs.len() < host.runs.len() {
--- a/crates/cassiahoist_standins/tests/systems/crashes.rs
+++ b/crates/cassiahoist_standins/tests/systems/crashes.rs
@@ -113,6 +113,15 @@
         self.absorb();
     }
 
+    /// Adds a job of one task to another queue than that of [`TestDaemon::add_job`].
+    fn add_batch(&mut self, id: u64) {
+        let mut record = job_record(id, vec![step(1)]);
+        let policy = Arc::make_mut(&mut Arc::make_mut(&mut record).policy);
+        policy.queue = QueueName::new("batches").unwrap();
+        let now_ms = self.holder.now_ms;
+        insert_job(self.holder.app.world_mut(), &record, None, now_ms);
+    }
+
     /// Creates a poll of a host, as the holder sends it.
     fn poll(&self, host: u64) -> HostOrder {
         HostOrder {
@@ -512,6 +521,59 @@
     assert!(cell.rosters.last().unwrap().hosts[0].silent_jobs.is_none());
 }
 
+/// Two tasks that crash hosts of one rack at the same time must not clear each other.
+#[test]
+fn loss_that_a_new_run_explains_is_no_common_loss() {
+    let mut cell = Cell::with_racks();
+    let hosts: Vec<HostKey> = (0..3 * RACK_HOSTS).map(|number| cell.holder.host(number)).collect();
+    let table = &mut cell.holder.app.world_mut().hosts;
+    let name = host_entry(0).name;
+    assert_eq!(table.was_lost_alone(&name), None, "its loss is not known");
+    table.record_loss(hosts[0], true, 2_000);
+    table.record_loss(hosts[1], true, 2_100);
+    table.record_loss(hosts[RACK_HOSTS as usize], false, 2_200);
+    table.record_loss(hosts[2], false, 2_600);
+    assert_eq!(table.was_lost_alone(&name), Some(true), "one elsewhere, and one of the rack later");
+    table.record_loss(hosts[2 * RACK_HOSTS as usize], false, 2_300);
+    assert_eq!(table.was_lost_alone(&name), Some(false), "two elsewhere");
+}
+
+/// What has just started on a host may crash it, and the suspect beside it would be blamed.
+#[test]
+fn suspect_waits_until_nothing_has_just_started_on_its_host() {
+    let mut cell = Cell::new(TestDaemon::with_hosts(2));
+    cell.holder.add_job(1, vec![step(1)]);
+    let name = task_name(1, 0, 0);
+    let (host, _) = cell.await_start(&name);
+    cell.tick(10);
+    cell.refuse(host);
+    cell.pass(3_000);
+    cell.add_batch(2);
+    cell.await_start(&task_name(2, 0, 0));
+    let started_at_ms = cell.holder.now_ms;
+    cell.replace(host);
+    cell.await_start(&name);
+    assert!(cell.holder.now_ms >= started_at_ms + 140, "the only host left is quiet again");
+}
+
+/// A task that may crash its host has just started there. Another job's task would be lost with it.
+#[test]
+fn other_jobs_avoid_a_host_just_after_a_start_under_caution() {
+    let mut cell = Cell::with_racks();
+    cell.holder.add_job(1, vec![step(1)]);
+    cell.crash_at_start(&task_name(1, 0, 0));
+    cell.await_start(&task_name(1, 0, 0));
+    cell.holder.add_job(2, vec![step(2)]);
+    let (host, _) = cell.await_start(&task_name(2, 0, 0));
+    cell.add_batch(3);
+    let (other, _) = cell.await_start(&task_name(3, 0, 0));
+    assert_ne!(other, host);
+    cell.pass(200);
+    cell.add_batch(4);
+    let (later, _) = cell.await_start(&task_name(4, 0, 0));
+    assert_eq!(later, host, "the fullest host");
+}
+
 /// A host's room shrinks while it runs tasks: nothing is added until these leave room again.
 #[test]
 fn host_that_shrinks_gets_no_more_than_it_has() {
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -229,10 +229,8 @@
     pub unproven: Option<(JobId, u64)>,
     /// Suspect that has the host to itself; no other task starts there meanwhile.
     pub isolated_run: Option<RunKey>,
-    /// Tasks and run numbers whose crash was recorded when the host's lease expired.
-    ///
-    /// The host may turn out to be alive.
-    pub expired_suspects: Vec<(TaskKey, u64)>,
+    /// Tasks and run numbers with a crash that is withdrawn if the host turns out to be alive.
+    pub uncertain_crashes: Vec<(TaskKey, u64)>,
     /// Processor share that fillers on the host get, in percent.
     pub filler_pace_percent: u8,
     /// When that share last changed, in monotonic milliseconds; 0 if never.
@@ -276,7 +274,7 @@
             last_start_at_ms: 0,
             unproven: None,
             isolated_run: None,
-            expired_suspects: Vec::new(),
+            uncertain_crashes: Vec::new(),
             filler_pace_percent: 100,
             filler_pace_changed_at_ms: 0,
             rules: HostRules::default(),
