--- a/crates/cassiahoist_daemon/src/lib.rs
+++ b/crates/cassiahoist_daemon/src/lib.rs
@@ -15,3 +15,4 @@
 pub use app::{MAX_RUN_LEASE_MS, build_daemon_app, local_from_settings};
 pub use process::run;
 pub use table_metrics::TableMetrics;
+pub use views::render_view;
--- a/crates/cassiahoist_standins/tests/systems/crashes.rs
+++ b/crates/cassiahoist_standins/tests/systems/crashes.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_daemon::render_view;
 use cassiahoist_jobs::{InheritedState, insert_job};
 use cassiahoist_standins::platform::TIME_ZERO_UNIX_MS;
 use cassiahoist_standins::workload::{Workload, config_json};
+use cassiahoist_traffic::control_link::View;
 use cassiahoist_world::calls::{CallAction, CallAnswer, CallRequest};
 use cassiahoist_world::crashes::CrashHistory;
 use cassiahoist_world::effect::{Effect, LogRecord};
@@ -244,6 +246,28 @@
     assert!(cell.holder.effects.contains(&Effect::AnswerCall { call: 9, answer: told }), "the holder");
 }
 
+/// An operator asks why a job waits, and later why it failed.
+#[test]
+fn explain_shows_suspects_and_why_a_job_failed() {
+    let mut cell = Cell::with_racks();
+    cell.holder.add_job(1, vec![step(1)]);
+    let name = task_name(1, 0, 0);
+    let explain = |cell: &Cell| -> serde_json::Value {
+        let view = render_view(cell.holder.app.world(), View::Explain(JobId(1)));
+        serde_json::from_str(&view).unwrap()
+    };
+    let first = cell.crash_at_start(&name);
+    let explained = explain(&cell);
+    assert_eq!(explained["failure"], serde_json::Value::Null);
+    let crashes = &explained["steps"][0]["crashes"][0];
+    assert_eq!((&crashes["of"], &crashes["starts_alone"]), (&name.as_str().into(), &true.into()));
+    let second = cell.crash_at_start(&name);
+    let failure = &explain(&cell)["failure"];
+    assert_eq!(failure["reason"], "hosts crashed repeatedly under a task");
+    assert_eq!(failure["task"], name);
+    assert_eq!(failure["crashed_hosts"], serde_json::json!([format!("i-{first}"), format!("i-{second}")]));
+}
+
 /// The task is lost three times within milliseconds of its start, each time with its whole rack.
 #[test]
 fn task_lost_again_and_again_with_its_rack_is_not_given_up() {
