Don't count a crash again after the task was cleared

Cause: a copy outlived its probation and cleared the task; the fate of the first run's host showed later, and its crash was recorded once more.

Change: a task remembers which run cleared it, and crashes of earlier runs don't count. crash_before_a_task_was_cleared_does_not_count_again tests it.

--- a/crates/cassiahoist_runs/src/crashes.rs
+++ b/crates/cassiahoist_runs/src/crashes.rs
@@ -250,18 +250,18 @@
 fn end_probation(world: &mut World, key: RunKey) {
     world.runs.on_probation.remove(&key);
     let Some(run) = world.runs.rows.get(key) else { return };
-    let (task, host) = (run.task, run.host);
+    let (task, host, run_number) = (run.task, run.host, run.run_number);
     if let Some(host) = world.hosts.get_mut(host) {
         host.isolated_run.take_if(|isolated| *isolated == key);
     }
-    clear_task(world, task, "it outlived its probation");
+    clear_task(world, task, run_number, "it outlived its probation");
 }
 
-/// Removes the crashes of a task that has shown to be harmless.
-pub(crate) fn clear_task(world: &mut World, task: TaskKey, cause: &str) {
+/// Removes the crashes of a task that a run has shown to be harmless.
+pub(crate) fn clear_task(world: &mut World, task: TaskKey, run_number: u64, cause: &str) {
     let Some(crashes) = world.jobs.crashes_of_mut(task).filter(|crashes| !crashes.is_empty()) else { return };
     let was_recorded = crashes.is_suspect() || crashes.len() >= RECORDED_CRASHES;
-    crashes.clear();
+    crashes.clear(run_number);
     if was_recorded {
         log_cleared_task(world, task, cause);
         mark_unrecorded(world, task);
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -36,7 +36,7 @@
             world.counters.runs_done += 1;
             record_success(world, run.host, now_ms);
             record_run_time(world, run.task, now_ms - run.start_sent_at_ms);
-            clear_task(world, run.task, "it is done");
+            clear_task(world, run.task, run.run_number, "it is done");
             finish_task(world, run.task, now_ms);
         }
         RunEnding::Failed => {
--- a/crates/cassiahoist_standins/tests/systems/crashes.rs
+++ b/crates/cassiahoist_standins/tests/systems/crashes.rs
@@ -353,6 +353,25 @@
     assert!(matches!(cell.holder.app.world().jobs.tasks[task].state, TaskState::Placed(_)));
 }
 
+/// A copy clears the task while the fate of the first run's host is not known. That crash came back later and counted again.
+#[test]
+fn crash_before_a_task_was_cleared_does_not_count_again() {
+    let mut cell = Cell::with_racks();
+    cell.holder.add_job(1, vec![StepSpec { allows_copies: true, ..step(1) }]);
+    let name = task_name(1, 0, 0);
+    let (host, _) = cell.await_start(&name);
+    cell.tick(10);
+    cell.refuse(host);
+    let (copy_host, run) = cell.await_start(&name);
+    cell.pass(300);
+    cell.report(copy_host, vec![running(&name, run)]);
+    assert!(cell.crashes(&name).is_empty(), "the copy has outlived its probation");
+    // The copy's host falls silent, so that no run is known to be at work.
+    cell.refuse(copy_host);
+    cell.replace(host);
+    assert!(cell.crashes(&name).iter().all(|crash| crash.run_number == run));
+}
+
 /// A start order that never left the holder can't have crashed the host.
 #[test]
 fn refused_start_is_no_crash() {
--- a/crates/cassiahoist_world/src/crashes.rs
+++ b/crates/cassiahoist_world/src/crashes.rs
@@ -81,13 +81,17 @@
 #[serde(transparent)]
 pub struct CrashHistory {
     crashes: Vec<Crash>,
+    /// Number of the latest run that cleared the task; 0 for none. The fate of earlier runs' hosts may show later.
+    #[serde(skip)]
+    cleared_by_run: u64,
 }
 
 impl CrashHistory {
     /// Adds a crash and returns whether it is new. Members of a gang share a run number, which counts once.
     pub fn record(&mut self, crash: Crash) -> bool {
         let is_known = self.crashes.iter().any(|known| known.run_number == crash.run_number);
-        if is_known || self.crashes.len() >= MAX_CRASHES {
+        let is_cleared = crash.run_number < self.cleared_by_run;
+        if is_known || is_cleared || self.crashes.len() >= MAX_CRASHES {
             return false;
         }
         self.crashes.push(crash);
@@ -101,9 +105,10 @@
         self.crashes.len() < count
     }
 
-    /// Removes all crashes.
-    pub fn clear(&mut self) {
+    /// Removes all crashes, since a run has shown the task to be harmless. Those of earlier runs don't count any more.
+    pub fn clear(&mut self, run_number: u64) {
         self.crashes.clear();
+        self.cleared_by_run = self.cleared_by_run.max(run_number);
     }
 
     /// Returns whether no crash is recorded.
