Look for suspects among pending tasks in one place

The reading of the change found the pending tasks of a step gone over twice for suspects, once through a look-up of their steps, and early crashes worked out twice when a host refuses connections.

--- a/crates/cassiahoist_placement/src/isolation.rs
+++ b/crates/cassiahoist_placement/src/isolation.rs
@@ -2,6 +2,7 @@
 //!
 //! If the host is lost too, the suspect is the cause, and few other runs are lost with it.
 
+use cassiahoist_runs::settle_crashes;
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::{StepKey, Task, TaskKey};
 use cassiahoist_world::prelude::*;
@@ -30,9 +31,17 @@
 
 impl Isolation {
     /// Returns the limit for the pending tasks of a step; `None` if none of them is a suspect.
-    pub fn for_tasks(world: &World, step: StepKey, tasks: &[TaskKey]) -> Option<Self> {
-        let mut tasks = tasks.iter().filter_map(|task| world.jobs.tasks.get(*task));
-        tasks.any(|task| task.crashes.is_suspect()).then(|| Self::for_step(world, step)).flatten()
+    ///
+    /// It looks again whether the crashes of the suspects were common, which shows only after a while.
+    pub fn for_tasks(world: &mut World, step: StepKey, tasks: &[TaskKey]) -> Option<Self> {
+        let mut has_suspects = false;
+        for task in tasks {
+            if is_suspect(world, *task) {
+                settle_crashes(world, *task);
+                has_suspects |= is_suspect(world, *task);
+            }
+        }
+        if has_suspects { Self::for_step(world, step) } else { None }
     }
 
     fn for_step(world: &World, step: StepKey) -> Option<Self> {
@@ -85,6 +94,11 @@
     }
 }
 
+/// Returns whether a task has to start alone. It is no member of a gang.
+fn is_suspect(world: &World, task: TaskKey) -> bool {
+    world.jobs.tasks.get(task).is_some_and(|task| task.crashes.is_suspect())
+}
+
 /// Returns whether nothing that was started on a host lately can still crash it unnoticed.
 pub(crate) fn is_quiet(host: &Host, now_ms: u64) -> bool {
     now_ms >= host.last_start_at_ms + QUIET_MS
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -4,9 +4,8 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_declarations::Packing;
-use cassiahoist_runs::{InheritedStarts, decide_inherited_starts, reserve_run, settle_crashes};
+use cassiahoist_runs::{InheritedStarts, decide_inherited_starts, reserve_run};
 use cassiahoist_world::advice::Ticket;
-use cassiahoist_world::crashes::CrashHistory;
 use cassiahoist_world::hosts::{Host, HostKey};
 use cassiahoist_world::jobs::{Step, StepKey, Task, TaskKey, TaskState};
 use cassiahoist_world::orders::Order;
@@ -196,11 +195,6 @@
     let Some(pending_tasks) = world.jobs.steps.get(key).map(|step| step.pending_tasks.clone()) else {
         return;
     };
-    for task in &pending_tasks {
-        if world.jobs.crashes_of(*task).is_some_and(CrashHistory::is_suspect) {
-            settle_crashes(world, *task);
-        }
-    }
     let mut isolation = Isolation::for_tasks(world, key, &pending_tasks);
     let mut unvisited_count = pending_tasks.len();
     let mut route = StartRoute::choose(world, key, unvisited_count.min(remaining_tasks as usize), now_ms);
--- a/crates/cassiahoist_runs/src/crashes.rs
+++ b/crates/cassiahoist_runs/src/crashes.rs
@@ -56,9 +56,7 @@
     let Some(row) = world.hosts.get(host) else { return };
     let runs: Vec<RunKey> = row.runs.iter().copied().collect();
     for run in runs {
-        if early_crash(world, run, now_ms).is_some() {
-            record_crash(world, run, HostLoss::Silent, now_ms);
-        }
+        record_crash(world, run, HostLoss::Silent, now_ms);
     }
 }
 
@@ -279,7 +277,7 @@
     if !was_heard || was_at_work || has_harmless_run(world, key, now_ms) {
         return None;
     }
-    Some(crash_of(world, key, now_ms)?).filter(Crash::is_early)
+    crash_of(world, key, now_ms).filter(Crash::is_early)
 }
 
 /// Returns the crash of a run that was not new any more.
