--- a/crates/cassiahoist_standins/tests/systems/crashes.rs
+++ b/crates/cassiahoist_standins/tests/systems/crashes.rs
@@ -422,6 +422,29 @@
     cell.await_start(&name);
 }
 
+/// A host restarts under its own name right after a start. The crash outlives the earlier incarnation, and the task starts alone.
+#[test]
+fn crash_outlives_the_incarnation_of_its_host() {
+    let mut cell = Cell::with_racks();
+    cell.holder.add_job(1, vec![step(1)]);
+    let name = task_name(1, 0, 0);
+    let (host, run) = cell.await_start(&name);
+    cell.report(host, vec![running(&name, run)]);
+    let entry = host_entry(host);
+    let restarted = HostEntry { started_unix_ms: entry.started_unix_ms + 50_000, ..entry };
+    cell.holder.receive_changes(KeySpace::Hosts, vec![entry_change(restarted)], 90);
+    cell.absorb();
+    assert!(cell.crashes(&name).is_suspect());
+    cell.report(host, Vec::new());
+    assert!(
+        cell.crashes(&name).is_suspect(),
+        "the new incarnation answers, and the earlier one has crashed all the same"
+    );
+    let (next_host, _) = cell.await_start(&name);
+    let key = cell.holder.host(next_host);
+    assert!(cell.holder.app.world().hosts.get(key).unwrap().isolated_run.is_some());
+}
+
 /// A new holder reads the crashes with the progress of the job, and starts the task alone.
 #[test]
 fn crashes_survive_a_change_of_the_holder() {
