Test the crash of a run that no poll had listed

Taking out the record of such crashes failed no test of the systems; it fails crash_of_a_run_that_was_never_listed_outlives_the_incarnation_of_its_host now.

--- a/crates/cassiahoist_standins/tests/systems/crashes.rs
+++ b/crates/cassiahoist_standins/tests/systems/crashes.rs
@@ -422,29 +422,38 @@
     cell.await_start(&name);
 }
 
-/// A host restarts under its own name right after a start. The crash outlives the earlier incarnation, and the task starts alone.
-#[test]
-fn crash_outlives_the_incarnation_of_its_host() {
+/// Lets a host restart under its own name right after a start, and checks that the task starts alone from then on.
+fn restart_after_a_start(was_listed: bool) {
     let mut cell = Cell::with_racks();
     cell.holder.add_job(1, vec![step(1)]);
     let name = task_name(1, 0, 0);
     let (host, run) = cell.await_start(&name);
-    cell.report(host, vec![running(&name, run)]);
+    if was_listed {
+        cell.report(host, vec![running(&name, run)]);
+    }
     let entry = host_entry(host);
     let restarted = HostEntry { started_unix_ms: entry.started_unix_ms + 50_000, ..entry };
     cell.holder.receive_changes(KeySpace::Hosts, vec![entry_change(restarted)], 90);
     cell.absorb();
     assert!(cell.crashes(&name).is_suspect());
     cell.report(host, Vec::new());
-    assert!(
-        cell.crashes(&name).is_suspect(),
-        "the new incarnation answers, and the earlier one has crashed all the same"
-    );
+    assert!(cell.crashes(&name).is_suspect(), "the new incarnation answers, the earlier one has crashed");
     let (next_host, _) = cell.await_start(&name);
     let key = cell.holder.host(next_host);
     assert!(cell.holder.app.world().hosts.get(key).unwrap().isolated_run.is_some());
 }
 
+#[test]
+fn crash_outlives_the_incarnation_of_its_host() {
+    restart_after_a_start(true);
+}
+
+/// No poll has listed the run yet, so that the new incarnation may have started it.
+#[test]
+fn crash_of_a_run_that_was_never_listed_outlives_the_incarnation_of_its_host() {
+    restart_after_a_start(false);
+}
+
 /// A new holder reads the crashes with the progress of the job, and starts the task alone.
 #[test]
 fn crashes_survive_a_change_of_the_holder() {
