review: a late start order takes effect at the next incarnation of its runner

Cause: a start that was never answered is settled by the end of the runner's lease. The order names the runner and not its incarnation, so that it takes effect if it is carried out when the runner is back under its id, while the next run is at work.

--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,7 +6,7 @@
 mod http;
 mod island;
 mod json;
-mod lost_with_runner;
+mod late_order;
 mod record;
 mod repeats;
 mod runner;
@@ -34,7 +34,7 @@
     cell::limit_time(TIME_LIMIT);
     let outcome = match case.as_str() {
         "island" => island::run(&record, is_disrupted),
-        "lost-with-runner" => lost_with_runner::run(&record, is_disrupted),
+        "late-order" => late_order::run(&record, is_disrupted),
         "repeats" => repeats::run(&record, is_disrupted),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -115,9 +115,18 @@
     life: Mutex<Life>,
     changed: Condvar,
     server: Mutex<Option<Server>>,
+    late: Mutex<Late>,
     around: Surroundings,
 }
 
+/// A start order that is left without an answer and carried out later.
+#[derive(Default)]
+struct Late {
+    /// Whether the next start order is left so.
+    is_wanted: bool,
+    order: Option<(Request, Json)>,
+}
+
 impl Runner {
     pub fn start(
         index: usize,
@@ -133,6 +142,7 @@
             life: Mutex::new(Life::new(&format!("i-{index:04x}"), capacity)),
             changed: Condvar::new(),
             server: Mutex::new(None),
+            late: Mutex::default(),
             around: around.clone(),
         });
         runner.listen()?;
@@ -272,6 +282,9 @@
         if (self.around.is_cut)(self.index, sender) {
             return Reply::Silence;
         }
+        if request.path == "/-/run-start" && self.keep(request, &call) {
+            return Reply::Silence;
+        }
         let (status, body) = self.answer(request, &call, fence, sender);
         if (self.around.is_cut)(self.index, sender) || status == CRASHED {
             Reply::Silence
@@ -280,6 +293,37 @@
         }
     }
 
+    /// Lets the next start order be left without an answer, or not.
+    pub fn keep_next_start(&self, is_wanted: bool) {
+        self.late.lock().unwrap().is_wanted = is_wanted;
+    }
+
+    /// Returns whether a start order is kept.
+    pub fn has_kept_start(&self) -> bool {
+        self.late.lock().unwrap().order.is_some()
+    }
+
+    fn keep(&self, request: &Request, call: &Json) -> bool {
+        let mut late = self.late.lock().unwrap();
+        let is_kept = std::mem::take(&mut late.is_wanted);
+        if is_kept {
+            late.order = Some((request.clone(), call.clone()));
+            let (task, run) = (call.text("task").unwrap_or_default(), call.u64("runId").unwrap_or(0));
+            self.around
+                .record
+                .line(&format!("the start of {task} run {run} on {} is not answered", self.id()));
+        }
+        is_kept
+    }
+
+    /// Carries out the start order that was kept.
+    pub fn carry_out_late(&self) {
+        let Some((request, call)) = self.late.lock().unwrap().order.take() else { return };
+        let fence = call.u64("fence").unwrap_or(0);
+        let (status, body) = self.answer(&request, &call, fence, self.around.store.author(fence));
+        self.around.record.line(&format!("the late order is carried out on {}: {status} {body}", self.id()));
+    }
+
     fn answer(&self, request: &Request, call: &Json, fence: u64, sender: Option<usize>) -> (u16, String) {
         let mut life = self.lock();
         let clock = |life: &Life| format!("{{\"clockMs\":{}}}", life.clock_ms());
