Release a step before its call for advice is forgotten

Cause: a holder abandons a call for advice at its time limit and forgets it 2.5 s later. Both were decided in one tick, the forgetting first, so that a call whose limit had passed by more than 2.5 s at the next tick was forgotten without releasing its step. The step then waited for an answer to a call that no table knew. The tables, and the wait, survive as long as the same daemon claims again, which it does while nobody else can.

Hypotheses ruled out: late answers that are misapplied (they name unknown calls and are ignored), steps that lose their place in the queue of calls (each release schedules the step), members that stay busy (no line without a later call of the same member).

Change: late calls release their steps first; only then are very late ones forgotten. `AdviceFailed` names step and lateness.

--- a/crates/cassiahoist_placement/src/advice.rs
+++ b/crates/cassiahoist_placement/src/advice.rs
@@ -142,8 +142,10 @@
     }
 }
 
+/// Releases the steps that wait for late calls, and forgets calls that are very late.
+///
+/// A tick may come so late that a call is both at once, so steps are released first.
 fn abandon_late_calls(world: &mut World, now_ms: u64) {
-    world.advice.open_calls.retain(|_, open| now_ms < open.abandon_at_ms + ABANDONED_CALL_MS);
     let late_calls: Vec<u64> = world
         .advice
         .open_calls
@@ -152,24 +154,36 @@
         .map(|(call, _)| *call)
         .collect();
     for call in late_calls {
-        let Some(open) = world.advice.open_calls.get_mut(&call) else { continue };
-        open.abandoned = true;
-        let log_record =
-            LogRecord::new(EventId::AdviceFailed).with("member", &open.member).with("call", call);
-        let log_record = log_record.with("took_ms", now_ms - open.sent_at_ms);
-        let step_key = open.step;
-        world.log(log_record);
-        if let Some(step) = world.jobs.steps.get_mut(step_key) {
-            step.advice.open_call = None;
-            world.jobs.schedule_advice_call(step_key, now_ms);
-        }
+        abandon_call(world, call, now_ms);
     }
+    world.advice.open_calls.retain(|_, open| now_ms < open.abandon_at_ms + ABANDONED_CALL_MS);
     let awaited_calls = world.advice.open_calls.values().filter(|open| !open.abandoned);
     if let Some(next_abandon_at_ms) = awaited_calls.map(|open| open.abandon_at_ms).min() {
         world.wake_by(next_abandon_at_ms);
     }
 }
 
+/// Lets the step of a call be asked about again.
+fn abandon_call(world: &mut World, call: u64, now_ms: u64) {
+    let Some(open) = world.advice.open_calls.get_mut(&call) else { return };
+    open.abandoned = true;
+    let log_record = LogRecord::new(EventId::AdviceFailed).with("member", &open.member).with("call", call);
+    let log_record = log_record
+        .with("took_ms", now_ms - open.sent_at_ms)
+        .with("late_ms", now_ms.saturating_sub(open.abandon_at_ms));
+    let step_key = open.step;
+    let step_name = world.jobs.steps.get(step_key).map(|step| step.name);
+    world.log(match step_name {
+        Some(step_name) => log_record.with("step", step_name),
+        None => log_record,
+    });
+    if let Some(step) = world.jobs.steps.get_mut(step_key).filter(|step| step.advice.open_call == Some(call))
+    {
+        step.advice.open_call = None;
+        world.jobs.schedule_advice_call(step_key, now_ms);
+    }
+}
+
 /// A daemon that may make another call.
 #[derive(Debug)]
 struct FreeMember {
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -63,7 +63,7 @@
 }
 
 /// Puts the first configuration of the simulated workload in force.
-fn configure(holder: &mut TestDaemon) {
+pub fn configure(holder: &mut TestDaemon) {
     let config = cassiahoist_platform::decode_config(config_json(1, Workload::Plain).to_string().as_bytes());
     holder.app.world_mut().config.current = Some(Arc::new(config.unwrap()));
 }
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -9,6 +9,7 @@
 mod engagement;
 mod handled_starts;
 mod host_restarts;
+mod late_ticks;
 mod link_budget;
 mod load;
 mod pace;
