--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -95,6 +95,9 @@
     214 ClaimFailed Info Daemon "The store did not accept this daemon's claim, or did not answer.";
     215 HolderSilent Warning Daemon "No heartbeat of the holder has arrived for too long.";
     216 HolderHeard Warning Daemon "A heartbeat of the holder has arrived again, or this daemon is the holder.";
+    217 PermissionEnded Warning Daemon "Neither the store nor enough hosts have confirmed the holder's claim lately; it gives no orders.";
+    218 PermissionRegained Info Daemon "The store or enough hosts have confirmed the holder's claim; it gives orders.";
+    219 PredecessorShutOut Info Daemon "Enough hosts know the new holder for earlier holders to lose their permission to give orders.";
     300 StoreUnreachable Warning Daemon "The store does not answer.";
     301 StoreReachable Warning Daemon "The store answers again.";
     302 StoreItemSkipped Warning Work "An item of the store is unreadable and is skipped.";
--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -4,6 +4,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::SLICE;
+use cassiahoist_runs::inherited_leases_end_at_ms;
 use cassiahoist_world::hosts::{Adoption, Host, HostKey};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::{HostRoster, RosterHost};
@@ -37,9 +38,10 @@
     }
     if world.holding.loading.is_roster_unreadable {
         // The next holder, too, has to wait for hosts that only the unreadable roster lists.
-        let leases_end_at_ms = world.holding.polling_since_ms + world.local.bounds.max_run_lease_ms();
-        if now_ms < leases_end_at_ms {
-            return world.wake_by(leases_end_at_ms);
+        match inherited_leases_end_at_ms(world) {
+            Some(end_ms) if now_ms >= end_ms => {}
+            Some(end_ms) => return world.wake_by(end_ms),
+            None => return,
         }
     }
     let is_incomplete =
@@ -61,7 +63,7 @@
     world.store_writes.next_roster_silence_at_ms = now_ms + silence_interval_ms(world);
     world.store_writes.roster_stale = false;
     list_silent_hosts(world);
-    let hosts = world
+    let hosts: Vec<RosterHost> = world
         .hosts
         .iter_engaged()
         .filter(|(_, host)| host.in_roster || host.accepts_new_runs(now_ms))
@@ -72,6 +74,9 @@
             silent_jobs: host.silent_jobs.clone(),
         })
         .collect();
+    // Without an answer the write may have taken effect or not.
+    world.store_writes.roster_size = world.store_writes.roster_size.max(hosts.len());
+    world.store_writes.roster_size_in_flight = hosts.len();
     world.store_writes.roster_in_flight = true;
     let transaction = Transaction::default()
         .with_expect(StoreKey::Claim(SLICE), fence.0)
@@ -121,6 +126,7 @@
         match completion.outcome {
             Ok(StoreReply::Committed { revision }) => {
                 world.store_writes.roster_revision = revision;
+                world.store_writes.roster_size = world.store_writes.roster_size_in_flight;
                 world.store_writes.latest_revision = world.store_writes.latest_revision.max(revision);
                 for (key, started_unix_ms) in written_hosts {
                     if let Some(host) = world.hosts.get_mut(key)
--- a/crates/cassiahoist_membership/src/adoption.rs
+++ b/crates/cassiahoist_membership/src/adoption.rs
@@ -4,7 +4,7 @@
 //! holder may have started runs.
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_world::holding::HoldingEvent;
+use cassiahoist_world::holding::{HoldingEvent, PERMISSION_MS};
 use cassiahoist_world::hosts::{Host, HostEntry};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::record::{HostRoster, RosterHost};
@@ -107,6 +107,9 @@
             None => (HostRoster::default(), 0),
         };
         world.store_writes.roster_revision = revision;
+        world.store_writes.roster_size = roster.hosts.len();
+        let hosts = roster.hosts.iter().map(|host| (host.name.clone(), host.started_unix_ms));
+        world.holding.loading.roster_hosts = hosts.collect();
         world.holding.loading.roster = Some(roster);
     }
     // The host entries are loaded first, so that hosts only in the roster can be identified.
@@ -165,14 +168,14 @@
 
 /// Completes the adoption once records and hosts are loaded; placement begins then.
 ///
-/// Hosts in the roster are assumed to hold the longest possible lease from now on.
+/// Hosts in the roster are assumed to hold the longest possible lease, which an earlier holder may extend for a short time.
 pub fn finish_adoption(world: &mut World, now_ms: u64) {
     if !world.holding.is_adopting() || !world.holding.loading.is_complete() {
         return;
     }
     world.holding.apply_event(HoldingEvent::Adopted);
     world.holding.polling_since_ms = now_ms;
-    let lease_end_ms = now_ms + world.local.bounds.max_run_lease_ms();
+    let lease_end_ms = now_ms + PERMISSION_MS + world.local.bounds.max_run_lease_ms();
     for key in world.hosts.engaged_keys() {
         if let Some(host) = world.hosts.get_mut(key).filter(|host| host.in_roster) {
             host.lease_end_ms = lease_end_ms;
--- a/crates/cassiahoist_membership/src/claim.rs
+++ b/crates/cassiahoist_membership/src/claim.rs
@@ -291,6 +291,8 @@
         }
         world.holding.apply_event(HoldingEvent::Adopted);
         world.holding.polling_since_ms = now_ms;
+        // The tables show that nobody else held the slice meanwhile.
+        world.holding.shut_out_at_ms = Some(now_ms);
         return;
     }
     clear_slice_tables(world);
--- a/crates/cassiahoist_membership/src/step_down.rs
+++ b/crates/cassiahoist_membership/src/step_down.rs
@@ -29,6 +29,7 @@
     let won_at_ms = world.holding.claim_won_at_ms().unwrap_or(now_ms);
     world.holding.releasing_since_ms = None;
     world.holding.apply_event(HoldingEvent::SteppedDown);
+    world.holding.end_permission();
     if fence.is_some() {
         let event =
             if cause == StepDownCause::Released { EventId::ClaimReleased } else { EventId::ClaimLost };
--- a/crates/cassiahoist_membership/src/weak_holder.rs
+++ b/crates/cassiahoist_membership/src/weak_holder.rs
@@ -41,8 +41,9 @@
 /// Returns a daemon that should hold the slice in place of this one; `None` if this one keeps it.
 fn find_successor(world: &World, now_ms: u64) -> Option<&MemberRecord> {
     let holding = &world.holding;
-    let can_release =
-        holding.is_confirmed_holder() && !world.store_connection.is_failing() && !world.local.is_stopping();
+    let can_release = holding.is_confirmed_holder(now_ms)
+        && !world.store_connection.is_failing()
+        && !world.local.is_stopping();
     let tenure_ms = now_ms.saturating_sub(holding.claim_won_at_ms()?);
     if !can_release || tenure_ms < MIN_TENURE_MS || holding.releasing_since_ms.is_some() {
         return None;
--- a/crates/cassiahoist_placement/src/place.rs
+++ b/crates/cassiahoist_placement/src/place.rs
@@ -45,7 +45,8 @@
 ///
 /// Does nothing while the daemon is stopping or not certain to hold the slice.
 pub fn place_tasks(world: &mut World, now_ms: u64) {
-    if !world.holding.is_confirmed_holder() || world.local.is_stopping() || world.jobs.ready.is_empty() {
+    if !world.holding.is_confirmed_holder(now_ms) || world.local.is_stopping() || world.jobs.ready.is_empty()
+    {
         return;
     }
     if now_ms < world.advice.next_round_at_ms {
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -175,6 +175,10 @@
     {
         return Some(run);
     }
+    if !world.holding.has_permission(now_ms) {
+        // Later lists show the run again.
+        return None;
+    }
     let log_record =
         LogRecord::new(EventId::RunStopped).with("task", report.task).with("run", report.run_number);
     world.log(log_record.with("reason", "no pending task matches this run"));
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -10,6 +10,7 @@
 
 use crate::crashes::{HostLoss, awaits_fate_of_host, end_lost_runs, record_crash, record_loss};
 use crate::lifecycle::detach_run;
+use crate::permission::inherited_leases_end_at_ms;
 
 /// How long a host's row is kept after its store entry disappeared, in milliseconds.
 const MISSING_HOST_RETENTION_MS: u64 = 15_000;
@@ -28,27 +29,46 @@
     let checked_hosts: Vec<HostKey> = checked_hosts.map(|(key, _)| key).collect();
     for key in checked_hosts {
         let Some(host) = world.hosts.get(key) else { continue };
-        if let Some(unresponsive_since_ms) = host.unresponsive_since_ms {
-            let lease_expired = now_ms >= host.lease_end_ms;
-            if !lease_expired {
-                let lease_end_ms = host.lease_end_ms;
-                world.wake_by(lease_end_ms);
-                requeue_copies(world, key, now_ms);
-            } else if !host.runs.is_empty() || host.in_roster {
-                let unresponsive_ms = now_ms - unresponsive_since_ms;
-                expire_host_lease(world, key, unresponsive_ms, now_ms);
-            }
+        let (unresponsive_since_ms, may_run) =
+            (host.unresponsive_since_ms, !host.runs.is_empty() || host.in_roster);
+        let has_ended = has_lease_ended(world, key, now_ms);
+        match unresponsive_since_ms {
+            Some(_) if !has_ended => requeue_copies(world, key, now_ms),
+            Some(since_ms) if may_run => expire_host_lease(world, key, now_ms - since_ms, now_ms),
+            Some(_) | None => {}
         }
-        remove_idle_host_from_roster(world, key, now_ms);
-        let Some(host) = world.hosts.get(key) else { continue };
-        let retention_over =
-            host.missing_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MISSING_HOST_RETENTION_MS);
-        if retention_over && host.runs.is_empty() && now_ms >= host.lease_end_ms {
-            world.hosts.remove(key);
+        if has_ended {
+            remove_idle_host(world, key, now_ms);
         }
     }
 }
 
+/// Returns whether everything that a host ran has ended, whoever extended its run lease.
+///
+/// Wakes the daemon when that may change. An earlier holder may still extend the lease of a host that has not answered this
+/// one, and so may a successor that reaches a host which is silent here. So the lease has ended only if the store
+/// has shown since that there is no successor.
+fn has_lease_ended(world: &mut World, key: HostKey, now_ms: u64) -> bool {
+    let Some(host) = world.hosts.get(key) else { return true };
+    let is_inherited = host.in_roster
+        && host.adoption == Adoption::Unknown
+        && host.last_answer_at_ms < world.holding.polling_since_ms;
+    let inherited_end_ms = if is_inherited { inherited_leases_end_at_ms(world) } else { Some(0) };
+    let Some(end_ms) = inherited_end_ms.map(|at_ms| at_ms.max(host.lease_end_ms)) else { return false };
+    if now_ms < end_ms {
+        world.wake_by(end_ms);
+        return false;
+    }
+    let is_confirmed = world.holding.claim_confirmed_at_ms >= end_ms;
+    let connection = &world.store_connection;
+    if !is_confirmed && !connection.is_failing() && !connection.lease_in_flight {
+        world.store_connection.next_lease_call_at_ms =
+            world.store_connection.next_lease_call_at_ms.min(now_ms);
+        world.wake_by(now_ms);
+    }
+    is_confirmed
+}
+
 /// Requeues tasks whose copies may run in parallel, before an unresponsive host's lease expires.
 ///
 /// Those that may have crashed the host wait for its fate.
@@ -67,16 +87,19 @@
     }
 }
 
-/// Removes a departing host without runs from the roster.
+/// Removes a departing host without runs, whose lease has ended, from the roster, and a missing one later from the tables.
 ///
 /// The next holder then doesn't wait for it.
-fn remove_idle_host_from_roster(world: &mut World, key: HostKey, now_ms: u64) {
-    let Some(host) = world.hosts.get_mut(key) else { return };
+fn remove_idle_host(world: &mut World, key: HostKey, now_ms: u64) {
+    let Some(host) = world.hosts.get_mut(key).filter(|host| host.runs.is_empty()) else { return };
     let departing = host.missing_since_ms.is_some() || host.draining_since_ms.is_some();
-    if host.in_roster && departing && host.runs.is_empty() && now_ms >= host.lease_end_ms {
+    if host.in_roster && departing {
         host.in_roster = false;
         world.store_writes.roster_stale = true;
     }
+    if host.missing_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MISSING_HOST_RETENTION_MS) {
+        world.hosts.remove(key);
+    }
 }
 
 /// Ends all runs of a host whose lease expired.
@@ -114,6 +137,7 @@
     record_unnoticed_loss(world, key, now_ms);
     let Some(host) = world.hosts.get_mut(key) else { return };
     host.in_roster = false;
+    host.fence_confirmed_at_ms = 0;
     host.adoption = Adoption::Unknown;
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
@@ -201,7 +225,7 @@
 /// Returns whether tasks of inherited jobs, those accepted before this daemon's claim, may start.
 ///
 /// They may once no run of them can be unknown. That is when every polled host of the roster was adopted, or when the
-/// run leases that an earlier holder extended have expired.
+/// run leases that an earlier holder extended have expired: see [`inherited_leases_end_at_ms`].
 #[must_use]
 pub fn may_start_inherited_jobs(world: &World, now_ms: u64) -> bool {
     if !world.holding.is_holding() {
@@ -211,6 +235,6 @@
         let mut hosts = world.hosts.iter_engaged();
         hosts.all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
     };
-    now_ms >= world.holding.polling_since_ms + world.local.bounds.max_run_lease_ms()
+    inherited_leases_end_at_ms(world).is_some_and(|end_ms| now_ms >= end_ms)
         || (!world.holding.loading.is_roster_unreadable && roster_adopted())
 }
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -14,6 +14,7 @@
 mod order_answers;
 mod outcome;
 mod pace;
+mod permission;
 mod poll;
 mod stalls;
 mod start_relays;
@@ -26,6 +27,7 @@
 };
 pub use lifecycle::{reserve_run, stop_job_runs, stop_run};
 pub use outcome::advance_job;
+pub use permission::inherited_leases_end_at_ms;
 
 use cassiahoist_world::prelude::*;
 
@@ -38,6 +40,8 @@
         app.add_system(TickSet::Receive, load::measure_tick)
             .add_system(TickSet::Receive, handled_starts::take_handled_answers)
             .add_system(TickSet::HostAnswers, order_answers::apply_order_answers)
+            .add_system(TickSet::HostAnswers, permission::extend_permission)
+            .add_system(TickSet::HostAnswers, permission::record_shut_out)
             .add_system(TickSet::HostAnswers, lease_expiry::expire_host_leases)
             .add_system(TickSet::HostAnswers, adopt::stop_partial_gangs)
             .add_system(TickSet::HostAnswers, start_relays::choose_start_relays)
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -227,6 +227,9 @@
         host.clock_known = true;
         host.last_answer_at_ms = now_ms;
     }
+    if matches!(completion.outcome, OrderOutcome::Done { .. }) {
+        host.fence_confirmed_at_ms = host.fence_confirmed_at_ms.max(completion.issued_at_ms);
+    }
     match completion.outcome {
         OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => {
             if let Some(since_ms) = host.unresponsive_since_ms.take() {
--- a/crates/cassiahoist_runs/src/pace.rs
+++ b/crates/cassiahoist_runs/src/pace.rs
@@ -67,7 +67,7 @@
 
 /// Sends pace orders for fillers whose pace differs from that of their host.
 pub fn send_filler_pace(world: &mut World, now_ms: u64) {
-    if !world.holding.is_holding() || now_ms < world.runs.next_pace_check_at_ms {
+    if !world.holding.has_permission(now_ms) || now_ms < world.runs.next_pace_check_at_ms {
         return;
     }
     world.runs.next_pace_check_at_ms = now_ms + CHECK_INTERVAL_MS;
--- /dev/null
+++ b/crates/cassiahoist_runs/src/permission.rs
@@ -0,0 +1,158 @@
+//! Permission of the holder to give orders, and the exclusion of earlier holders.
+//!
+//! A claim can end without its holder's knowledge, while the holder still reaches some hosts. So it gives orders only for a
+//! short time after its claim was certain. That is shown by the store, which renewed the lease, or by most hosts of the roster,
+//! which took its orders: a successor gives their fences to most hosts first. With the store away from everybody,
+//! the hosts let the holder go on.
+
+use cassiahoist_core::prelude::*;
+use cassiahoist_world::holding::PERMISSION_MS;
+use cassiahoist_world::hosts::{Adoption, Host, HostKey};
+use cassiahoist_world::prelude::*;
+
+use crate::order_answers::poll_immediately;
+
+/// Age of the lease's renewal from which hosts are asked to confirm the claim, in milliseconds.
+///
+/// A renewal is overdue then.
+const OVERDUE_RENEWAL_MS: u64 = 600;
+
+/// Age of a host's confirmation from which it is asked again, in milliseconds.
+const STALE_CONFIRMATION_MS: u64 = 500;
+
+/// Interval between looks at the hosts' confirmations while the store renews no lease, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 100;
+
+/// Time without the store after which all hosts of the roster have to confirm the claim, in milliseconds.
+///
+/// A successor that can't reach most hosts of the roster relies on it.
+pub(crate) const MAX_ISOLATION_MS: u64 = 15_000;
+
+/// Extends the permission to give orders by what the store and the hosts last confirmed.
+pub fn extend_permission(world: &mut World, now_ms: u64) {
+    if !world.holding.is_holding() {
+        return;
+    }
+    let had_permission = world.holding.has_permission_since_ms.is_some();
+    if world.store_connection.lease.is_some() {
+        // The claim ends with the lease.
+        world.holding.confirm_claim(world.store_connection.lease_renewed_at_ms);
+    }
+    let overdue_at_ms = world.holding.claim_confirmed_at_ms.saturating_add(OVERDUE_RENEWAL_MS);
+    if now_ms >= overdue_at_ms {
+        confirm_with_hosts(world, now_ms);
+        world.wake_by(now_ms + CHECK_INTERVAL_MS);
+    } else {
+        world.wake_by(overdue_at_ms);
+    }
+    let has_permission = world.holding.has_permission(now_ms);
+    if had_permission != has_permission {
+        world.holding.has_permission_since_ms = has_permission.then_some(now_ms);
+        let event = if has_permission { EventId::PermissionRegained } else { EventId::PermissionEnded };
+        let confirming_hosts =
+            confirmation_times(world).filter(|at_ms| now_ms < at_ms + PERMISSION_MS).count();
+        let log_record = LogRecord::new(event)
+            .with("claim_confirmed_ms_ago", now_ms.saturating_sub(world.holding.claim_confirmed_at_ms))
+            .with("confirming_hosts", confirming_hosts)
+            .with("roster_hosts", world.store_writes.roster_size);
+        world.log(log_record);
+    }
+}
+
+/// Iterates over the times at which hosts of the roster last confirmed this daemon's fence, in monotonic milliseconds.
+fn confirmation_times(world: &World) -> impl Iterator<Item = u64> {
+    let listed_hosts = world.hosts.iter_engaged().filter(|(_, host)| host.in_roster);
+    listed_hosts.map(|(_, host)| host.fence_confirmed_at_ms)
+}
+
+/// Extends the permission if enough hosts have confirmed the claim, and asks those whose confirmation is old.
+fn confirm_with_hosts(world: &mut World, now_ms: u64) {
+    let Some(required_count) = required_confirmations(world, now_ms) else { return };
+    let mut times_ms: Vec<u64> = confirmation_times(world).collect();
+    if times_ms.len() < required_count {
+        return;
+    }
+    times_ms.sort_unstable_by(|one, other| other.cmp(one));
+    world.holding.extend_permission(times_ms[required_count - 1] + PERMISSION_MS);
+    // Some answers are lost.
+    let asked_count = required_count + required_count / 4;
+    let is_recent = |at_ms: &&u64| now_ms < **at_ms + STALE_CONFIRMATION_MS;
+    let missing_count = asked_count.saturating_sub(times_ms.iter().filter(is_recent).count());
+    for key in hosts_to_ask(world, missing_count, now_ms) {
+        poll_immediately(world, key, now_ms);
+    }
+}
+
+/// Returns how many hosts have to confirm the claim; `None` if the roster shows none.
+///
+/// That is more than half of the stored roster, so that a successor that gave its fence to more than half of it has
+/// been to one of them. After a long time without the store it is all of the roster.
+fn required_confirmations(world: &World, now_ms: u64) -> Option<usize> {
+    let roster_size = world.store_writes.roster_size;
+    let is_long = now_ms >= world.holding.claim_confirmed_at_ms.saturating_add(MAX_ISOLATION_MS);
+    (roster_size > 0).then_some(if is_long { roster_size } else { roster_size / 2 + 1 })
+}
+
+/// Chooses hosts whose confirmation is old, responsive ones first.
+fn hosts_to_ask(world: &World, count: usize, now_ms: u64) -> Vec<HostKey> {
+    let may_ask = |host: &Host| {
+        host.in_roster
+            && host.open_extra_polls == 0
+            && now_ms >= host.fence_confirmed_at_ms + STALE_CONFIRMATION_MS
+    };
+    let mut hosts: Vec<(bool, HostKey)> = world
+        .hosts
+        .iter_engaged()
+        .filter(|(_, host)| may_ask(host))
+        .map(|(key, host)| (host.unresponsive_since_ms.is_some(), key))
+        .collect();
+    hosts.sort_unstable();
+    hosts.into_iter().take(count).map(|(_, key)| key).collect()
+}
+
+/// Records when enough hosts of the roster were shut out from earlier holders for these to lose their permission.
+///
+/// A host is shut out once it has answered under this daemon's fence, has restarted or is gone.
+pub fn record_shut_out(world: &mut World, now_ms: u64) {
+    if !world.holding.is_holding() || world.holding.shut_out_at_ms.is_some() {
+        return;
+    }
+    let (shut_out_count, host_count) = count_shut_out(world);
+    let is_long = now_ms >= world.holding.polling_since_ms + MAX_ISOLATION_MS;
+    if shut_out_count * 2 > host_count || (is_long && shut_out_count > 0) {
+        world.holding.shut_out_at_ms = Some(now_ms);
+        let log_record = LogRecord::new(EventId::PredecessorShutOut)
+            .with("hosts", shut_out_count)
+            .with("roster_hosts", host_count)
+            .with("took_ms", now_ms.saturating_sub(world.holding.polling_since_ms));
+        world.log(log_record);
+    }
+}
+
+/// Counts the hosts that are shut out from earlier holders, and all that these may have given orders to.
+fn count_shut_out(world: &World) -> (usize, usize) {
+    if world.holding.loading.is_roster_unreadable {
+        let adopted = world.hosts.iter_engaged().filter(|(_, host)| host.adoption == Adoption::Adopted);
+        return (adopted.count(), world.hosts.iter_engaged().count());
+    }
+    let listed_hosts = &world.holding.loading.roster_hosts;
+    let is_shut_out = |(name, started_unix_ms): &&(HostName, u64)| {
+        let row = world.hosts.find(name).and_then(|key| world.hosts.get(key));
+        row.is_none_or(|host| {
+            host.adoption == Adoption::Adopted || host.entry.started_unix_ms != *started_unix_ms
+        })
+    };
+    (listed_hosts.iter().filter(is_shut_out).count(), listed_hosts.len())
+}
+
+/// Returns when all run leases that earlier holders extended have ended, in monotonic milliseconds.
+///
+/// `None` while they may still extend them: until most hosts of the roster are shut out.
+#[must_use]
+pub fn inherited_leases_end_at_ms(world: &World) -> Option<u64> {
+    let listed_hosts = &world.holding.loading.roster_hosts;
+    let is_empty = listed_hosts.is_empty() && !world.holding.loading.is_roster_unreadable;
+    let shut_out_at_ms =
+        if is_empty { Some(world.holding.polling_since_ms) } else { world.holding.shut_out_at_ms };
+    shut_out_at_ms.map(|at_ms| at_ms + PERMISSION_MS + world.local.bounds.max_run_lease_ms())
+}
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -79,6 +79,8 @@
 }
 
 /// Sends the polls that are due and renews the hosts' leases with them.
+///
+/// A holder without the permission to act renews no lease, since a successor may count on its end.
 pub fn poll_hosts(world: &mut World, now_ms: u64) {
     if !world.holding.is_holding() {
         return;
@@ -93,6 +95,7 @@
     let slack_ms = POLL_SLACK_MS + world.holding.answer_times.latency_allowance_ms();
     let max_adoption_polls = world.runs.start_window.limit() as usize;
     let mut adoption_polls = count_open_adoption_polls(world);
+    let has_permission = world.holding.has_permission(now_ms);
     let renews_silent_hosts = is_silence_own_fault(world);
     let renewal_cutoff_ms =
         if world.hosts.are_all_silent(now_ms) { COMMON_RENEWAL_CUTOFF_MS } else { RENEWAL_CUTOFF_MS };
@@ -114,7 +117,9 @@
         host.poll.sent_ms = Some(now_ms);
         adoption_polls += usize::from(is_adoption_poll);
         let unresponsive_ms = host.unresponsive_since_ms.map_or(0, |since_ms| now_ms - since_ms);
-        let renews_lease = host.clock_known && (unresponsive_ms < renewal_cutoff_ms || renews_silent_hosts);
+        let renews_lease = has_permission
+            && host.clock_known
+            && (unresponsive_ms < renewal_cutoff_ms || renews_silent_hosts);
         let lease_until_ms = renews_lease.then(|| host.clock_ms(now_ms) + lease_ms);
         if renews_lease && !host.runs.is_empty() {
             let lease_end_ms = now_ms + world.local.bounds.max_run_lease_ms();
--- a/crates/cassiahoist_runs/src/start_relays.rs
+++ b/crates/cassiahoist_runs/src/start_relays.rs
@@ -35,7 +35,7 @@
 
 /// Keeps relays ready while start orders fill the link.
 pub fn choose_start_relays(world: &mut World, now_ms: u64) {
-    if !world.holding.is_confirmed_holder() {
+    if !world.holding.is_confirmed_holder(now_ms) {
         return;
     }
     if world.runs.start_budget.is_heavily_used() {
--- a/crates/cassiahoist_runs/src/stop_orders.rs
+++ b/crates/cassiahoist_runs/src/stop_orders.rs
@@ -12,7 +12,7 @@
 
 /// Sends the stop orders that are due.
 pub fn send_stop_orders(world: &mut World, now_ms: u64) {
-    if !world.holding.is_holding() {
+    if !world.holding.has_permission(now_ms) {
         return;
     }
     let mut earliest_wake_ms = u64::MAX;
--- a/crates/cassiahoist_runs/src/unsent_starts.rs
+++ b/crates/cassiahoist_runs/src/unsent_starts.rs
@@ -81,7 +81,7 @@
 ///
 /// While the claim is not confirmed they wait; a gang is broken if that takes too long.
 pub fn issue_unsent_starts(world: &mut World, now_ms: u64) {
-    if world.runs.unsent_starts.is_empty() || !world.holding.is_confirmed_holder() {
+    if world.runs.unsent_starts.is_empty() || !world.holding.is_confirmed_holder(now_ms) {
         return;
     }
     let is_due = |start: &mut UnsentStart| start.issue_at_ms <= now_ms;
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -13,6 +13,7 @@
 mod deadly;
 mod faults;
 mod full_link;
+mod islands;
 mod link;
 pub mod machine;
 mod misfortunes;
@@ -179,6 +180,8 @@
     /// Last number given to a message or an open call.
     last_number: u64,
     calls: FxHashMap<u64, calls::OpenCall>,
+    /// Daemon and hosts that were last cut off together; `None` before the first cut.
+    island: Option<islands::Island>,
     /// Times at which faults were injected or active.
     fault_history: faults::FaultHistory,
 }
@@ -208,6 +211,7 @@
             in_flight: BTreeMap::new(),
             last_number: 0,
             calls: FxHashMap::default(),
+            island: None,
             fault_history: faults::FaultHistory::default(),
         };
         for daemon in 0..sim.daemons.len() {
--- a/crates/cassiahoist_standins/src/sim/calls.rs
+++ b/crates/cassiahoist_standins/src/sim/calls.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 
 use super::call_connections::CallConnection;
+use super::islands::Island;
 use super::{Message, Simulation};
 use crate::store::CallOutcome;
 use crate::trace::Observation;
@@ -178,8 +179,11 @@
         let Target::Host(order) = &open_call.target else { return };
         open_call.deadline_ms = self.now_ms + order.timeout_ms;
         let host_index = self.platform.find_host(&order.address);
-        let unreachable = host_index
-            .is_none_or(|number| self.now_ms < self.platform.registered_hosts[number].unreachable_until_ms);
+        let unreachable = host_index.is_none_or(|number| {
+            let separated = |island: &Island| island.separates(open_call.daemon, number, self.now_ms);
+            self.now_ms < self.platform.registered_hosts[number].unreachable_until_ms
+                || self.island.as_ref().is_some_and(separated)
+        });
         if unreachable {
             let report_at_ms = open_call.deadline_ms.min(self.now_ms + CONNECT_TIMEOUT_MS);
             let outcome = OrderOutcome::NotSent(UnsentCause::ConnectTimeout);
--- a/crates/cassiahoist_standins/src/sim/faults.rs
+++ b/crates/cassiahoist_standins/src/sim/faults.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use super::islands::Island;
 use super::{Scenario, Simulation};
 use crate::host::HostHealth;
 use crate::platform::{LateOrders, TIME_ZERO_UNIX_MS};
@@ -50,6 +51,17 @@
     CutDaemonFromPeers(usize, u64),
     /// Cuts the holder off from the store for a time.
     CutHolderFromStore(u64),
+    /// Cuts the holder off together with some hosts, which only it reaches then; it does not reach the store.
+    IsolateHolder {
+        /// Number of the first host, modulo their count.
+        first_host: usize,
+        /// Number of hosts from there on, as far as there are more.
+        host_count: usize,
+        /// Length of the cut, in milliseconds.
+        for_ms: u64,
+        /// Whether the connections between daemons stay open.
+        keeps_peers: bool,
+    },
     /// Cuts a daemon off from the store for a time.
     CutDaemonFromStore(usize, u64),
     /// Slows down the link of the holder's machine.
@@ -125,7 +137,8 @@
             | Fault::RestartHostUnannounced(_, for_ms)
             | Fault::SlowHolderLink(for_ms, _)
             | Fault::CutDaemonFromStore(_, for_ms)
-            | Fault::MakeHostUnreachable(_, for_ms) => *for_ms,
+            | Fault::MakeHostUnreachable(_, for_ms)
+            | Fault::IsolateHolder { for_ms, .. } => *for_ms,
             Fault::DelayOrders(_, for_ms, delay_ms) => for_ms + delay_ms,
             Fault::SetStoreHealth(health) if *health == StoreHealth::default() => {
                 let since_ms = self.store_faulty_since_ms.take().unwrap_or(now_ms);
@@ -211,6 +224,18 @@
                     self.daemons[holder].store_unreachable_until_ms = now_ms + for_ms;
                 }
             }
+            Fault::IsolateHolder { first_host, host_count, for_ms, keeps_peers } => {
+                if let Some(daemon) = self.holder() {
+                    let first_host = first_host % hosts;
+                    let island_hosts = first_host..(first_host + host_count).min(hosts);
+                    let until_ms = now_ms + for_ms;
+                    self.daemons[daemon].store_unreachable_until_ms = until_ms;
+                    if !keeps_peers {
+                        self.daemons[daemon].cut_from_peers_until_ms = until_ms;
+                    }
+                    self.island = Some(Island { daemon, hosts: island_hosts, until_ms });
+                }
+            }
             Fault::SlowHolderLink(for_ms, order_ms) => {
                 if let Some(holder) = self.holder() {
                     self.daemons[holder].link.slow_down(now_ms + for_ms, order_ms);
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -616,3 +616,105 @@
     let sim = run_scenario(1, Vec::new());
     assert_eq!(count_relayed_starts(&sim), 0);
 }
+
+/// Simulates a day whose holder is cut off with some hosts, after other faults.
+fn run_with_island(seed: u64, before: &[(u64, Fault)], at_ms: u64, island: Fault) {
+    let faults = before.iter().copied().chain([(at_ms, island)]).collect();
+    let mut sim = Simulation::new(seed, Scenario { hosts: 12, faults, ..Scenario::default() });
+    let violations = sim.run();
+    assert!(violations.is_empty(), "seed {seed}, {island:?} at {at_ms}: {}", violations[0]);
+    assert_eq!(
+        sim.callers.open_jobs(),
+        0,
+        "seed {seed}, {island:?} at {at_ms}: some accepted jobs haven't ended"
+    );
+}
+
+/// A holder that was cut off with two hosts went on renewing their leases, and its successor started their tasks again.
+#[test]
+fn isolated_holder_keeps_no_run_that_its_successor_starts() {
+    for (seed, keeps_peers) in [(51, true), (52, false)] {
+        for for_ms in [3_000, 5_000, 8_000, 14_000] {
+            for at_ms in [7_000, 7_130, 7_250, 7_390] {
+                let island = Fault::IsolateHolder { first_host: 0, host_count: 2, for_ms, keeps_peers };
+                run_with_island(seed, &[], at_ms, island);
+            }
+        }
+    }
+}
+
+/// The store is away from everybody, so that the holder goes on by the word of the hosts, and then it is cut off with some.
+#[test]
+fn holder_isolated_after_an_outage_keeps_no_run_that_its_successor_starts() {
+    let unresponsive = set_store_health(StoreHealth { unresponsive: true, ..StoreHealth::default() });
+    for (seed, host_count) in [(53, 2), (54, 5), (55, 7)] {
+        for away_ms in [1_000, 2_500, 5_000] {
+            let before = [(7_000, unresponsive), (7_000 + away_ms, STORE_HEALTHY)];
+            for lead_ms in [0, 100, 600] {
+                let island =
+                    Fault::IsolateHolder { first_host: 0, host_count, for_ms: 8_000, keeps_peers: false };
+                run_with_island(seed, &before, 7_000 + away_ms - lead_ms, island);
+            }
+        }
+    }
+}
+
+/// A paused holder wakes up within the cut and knows of no successor.
+#[test]
+fn isolated_holder_that_wakes_up_keeps_no_run_that_its_successor_starts() {
+    for (seed, pause_ms) in [(56, 700), (57, 2_000), (58, 4_000)] {
+        let island = Fault::IsolateHolder { first_host: 3, host_count: 3, for_ms: 9_000, keeps_peers: false };
+        run_with_island(seed, &[(7_000, Fault::PauseHolder(pause_ms))], 7_100, island);
+    }
+}
+
+/// Lists the times at which run leases ended on hosts, in milliseconds.
+fn lapsed_runs(sim: &Simulation) -> Vec<u64> {
+    let observations = sim.platform.trace.observations.iter();
+    let lapsed = observations
+        .filter(|(_, observation)| matches!(observation, Observation::RunEnded { ending: "lapsed", .. }));
+    lapsed.map(|(at_ms, _)| *at_ms).collect()
+}
+
+/// No daemon reaches the store for far longer than a run lease, and a third of the hosts crash meanwhile.
+///
+/// A holder that needed the store to go on would let all work end.
+#[test]
+fn store_that_is_away_from_everybody_ends_no_run() {
+    let unresponsive = set_store_health(StoreHealth { unresponsive: true, ..StoreHealth::default() });
+    for (seed, away_ms, crashes) in [(61, 4_000, 0), (62, 12_000, 0), (63, 12_000, 4), (64, 25_000, 0)] {
+        let mut faults = vec![(7_000, unresponsive), (7_000 + away_ms, STORE_HEALTHY)];
+        faults.extend((0..crashes).map(|host| (9_000, Fault::CrashHost(host, 9_000))));
+        let mut sim = Simulation::new(seed, Scenario { hosts: 12, faults, ..Scenario::default() });
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+        assert_eq!(lapsed_runs(&sim), [0_u64; 0], "seed {seed}: runs whose leases ended");
+    }
+}
+
+/// Only the holder loses the store; its peers reach it, and the slice changes its holder without the end of a run.
+#[test]
+fn holder_that_alone_loses_the_store_hands_its_runs_over() {
+    for seed in [65, 66, 67] {
+        let mut sim = Simulation::new(
+            seed,
+            Scenario {
+                hosts: 12,
+                faults: vec![(7_000, Fault::CutHolderFromStore(6_000))],
+                ..Scenario::default()
+            },
+        );
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+        assert_eq!(lapsed_runs(&sim), [0_u64; 0], "seed {seed}: runs whose leases ended");
+    }
+}
+
+/// Cuts of the holder with some hosts, outages of the store and late ticks overlap.
+#[test]
+fn overlapping_islands_violate_no_invariant() {
+    for seed in 1..=16 {
+        let violations = Simulation::new(seed, Scenario::islands(seed)).run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+    }
+}
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -13,6 +13,7 @@
 mod link_budget;
 mod load;
 mod pace;
+mod permission;
 mod placement;
 mod polls;
 mod recording;
--- /dev/null
+++ b/crates/cassiahoist_standins/tests/systems/permission.rs
@@ -0,0 +1,210 @@
+//! Until when a holder acts whose claim the store no longer confirms, and what its successor waits for.
+
+use cassiahoist_core::prelude::*;
+use cassiahoist_world::holding::PERMISSION_MS;
+use cassiahoist_world::hosts::Adoption;
+use cassiahoist_world::orders::{HostOrder, Order, OrderOutcome, RefusalReason};
+
+use crate::support::{TestDaemon, host_entry, log_records, running, running_lists, step, task_name};
+
+/// A holder with running tasks, and its hosts, of which the first few answer polls.
+struct Cell {
+    holder: TestDaemon,
+    /// Polls that are open, with the times of their issue and of their answer or timeout.
+    polls: Vec<(HostOrder, u64, u64)>,
+    /// When a run lease was last renewed, in milliseconds.
+    renewed_at_ms: u64,
+}
+
+impl Cell {
+    /// Creates a cell whose store confirms the claim now, and never again.
+    fn without_store(hosts: u64, tasks: u32) -> Self {
+        let mut holder = TestDaemon::with_hosts(hosts);
+        let now_ms = holder.now_ms;
+        let world = holder.app.world_mut();
+        world.store_writes.roster_size = hosts as usize;
+        world.store_connection.lease_renewed_at_ms = now_ms;
+        world.holding.end_permission();
+        world.holding.shut_out_at_ms = Some(now_ms);
+        holder.add_job(1, vec![step(tasks)]);
+        let mut cell = Self { holder, polls: Vec::new(), renewed_at_ms: 0 };
+        cell.holder.tick(10);
+        cell.take_orders();
+        cell.holder.confirm_starts();
+        cell.take_orders();
+        assert!(cell.has_permission());
+        cell
+    }
+
+    fn has_permission(&self) -> bool {
+        self.holder.app.world().holding.has_permission(self.holder.now_ms)
+    }
+
+    /// Takes the orders of the last tick.
+    fn take_orders(&mut self) {
+        let now_ms = self.holder.now_ms;
+        for order in self.holder.orders() {
+            let Order::Poll { lease_until_ms, wait_ms, .. } = order.order else { continue };
+            if lease_until_ms.is_some() {
+                self.renewed_at_ms = now_ms;
+            }
+            self.polls.push((order.clone(), now_ms, now_ms + wait_ms.max(2)));
+        }
+    }
+
+    /// Passes time in which the first hosts answer each poll and the others none.
+    fn pass(&mut self, answering: u64, for_ms: u64) {
+        let end_ms = self.holder.now_ms + for_ms;
+        while self.holder.now_ms < end_ms {
+            self.holder.tick(10);
+            self.take_orders();
+            let now_ms = self.holder.now_ms;
+            let due: Vec<_> = self.polls.extract_if(.., |(_, _, due_ms)| now_ms >= *due_ms).collect();
+            for (order, issued_at_ms, _) in due {
+                let is_answered = (0..answering).any(|number| host_entry(number).name == order.host_name);
+                let world = self.holder.app.world();
+                let runs = world.hosts.get(order.host).unwrap().runs.iter().map(|run| &world.runs.rows[*run]);
+                let lists = runs.map(|run| running(&run.name.to_string(), run.run_number)).collect();
+                let (outcome, clock_ms) = if is_answered {
+                    (OrderOutcome::Done { lists: Some(running_lists(lists)) }, Some(self.holder.now_ms))
+                } else {
+                    (OrderOutcome::Unknown, None)
+                };
+                self.holder.answer_issued_at(order, outcome, clock_ms, issued_at_ms);
+                self.take_orders();
+            }
+        }
+    }
+}
+
+/// A holder that was cut off from the store went on renewing run leases for as long as any host answered.
+#[test]
+fn holder_that_few_hosts_confirm_gives_no_orders() {
+    let mut cell = Cell::without_store(5, 30);
+    let confirmed_at_ms = cell.holder.app.world().holding.claim_confirmed_at_ms;
+    cell.pass(2, 4_000);
+    assert!(cell.renewed_at_ms < confirmed_at_ms + PERMISSION_MS, "renewed at {}", cell.renewed_at_ms);
+    cell.holder.add_job(2, vec![step(1)]);
+    let starts_before = cell.holder.app.world().counters.starts;
+    cell.pass(2, 1_500);
+    assert_eq!(cell.holder.app.world().counters.starts, starts_before);
+    assert!(!cell.has_permission());
+}
+
+/// The store is away from everybody; most hosts still take orders under this claim.
+#[test]
+fn holder_that_most_hosts_confirm_goes_on_without_the_store() {
+    let mut cell = Cell::without_store(5, 30);
+    for _ in 0..100 {
+        cell.pass(3, 100);
+        assert!(cell.has_permission());
+    }
+    assert!(cell.renewed_at_ms + 1_500 > cell.holder.now_ms);
+}
+
+/// A successor that reaches few hosts of the roster waits for a bounded time, after which this holder needs all of them.
+#[test]
+fn holder_needs_all_hosts_after_a_long_time_without_the_store() {
+    for (answering, goes_on) in [(4, false), (5, true)] {
+        let mut cell = Cell::without_store(5, 30);
+        cell.pass(answering, 14_000);
+        assert!(cell.has_permission());
+        cell.pass(answering, 3_000);
+        assert_eq!(cell.has_permission(), goes_on, "{answering} of 5 hosts");
+    }
+}
+
+/// One host has seen a later holder.
+#[test]
+fn refusal_of_the_fence_ends_the_holding() {
+    let mut cell = Cell::without_store(5, 30);
+    cell.pass(5, 500);
+    let (poll, issued_at_ms, _) = cell.polls.pop().unwrap();
+    cell.holder.answer_issued_at(
+        poll,
+        OrderOutcome::Refused(RefusalReason::Fence),
+        Some(5_000),
+        issued_at_ms,
+    );
+    assert!(!cell.holder.app.world().holding.is_holding());
+}
+
+/// A host that is silent to this holder may have been adopted by a successor, which renews its lease.
+#[test]
+fn runs_of_a_silent_host_are_given_up_only_under_a_confirmed_claim() {
+    let mut cell = Cell::without_store(5, 30);
+    cell.pass(4, 9_000);
+    let silent = cell.holder.host(4);
+    assert!(cell.has_permission());
+    let count_runs = |cell: &Cell| cell.holder.app.world().hosts.get(silent).unwrap().runs.len();
+    assert_ne!(count_runs(&cell), 0, "no successor was ruled out");
+    let now_ms = cell.holder.now_ms;
+    cell.holder.app.world_mut().store_connection.lease_renewed_at_ms = now_ms;
+    cell.pass(4, 50);
+    assert_eq!(count_runs(&cell), 0);
+}
+
+/// Creates a successor under which `adopted` of the listed hosts have answered.
+fn successor(listed: u64, adopted: u64) -> TestDaemon {
+    let mut holder = TestDaemon::with_hosts(listed);
+    let now_ms = holder.now_ms;
+    let keys: Vec<_> = (0..listed).map(|number| holder.host(number)).collect();
+    let world = holder.app.world_mut();
+    world.holding.shut_out_at_ms = None;
+    world.holding.polling_since_ms = now_ms + 1;
+    let names = (0..listed).map(host_entry).map(|entry| (entry.name, entry.started_unix_ms));
+    world.holding.loading.roster_hosts = names.collect();
+    for (number, key) in keys.into_iter().enumerate() {
+        let host = world.hosts.get_mut(key).unwrap();
+        if number as u64 >= adopted {
+            host.adoption = Adoption::Unknown;
+            host.unresponsive_since_ms = Some(now_ms);
+        }
+    }
+    let job = holder.add_job(1, vec![step(1)]);
+    holder.app.world_mut().jobs.get_mut(job).unwrap().inherited = true;
+    holder
+}
+
+/// Passes time in steps of 20 ms until a task starts, and returns how long that took, in milliseconds.
+fn time_to_start(holder: &mut TestDaemon, limit_ms: u64) -> Option<u64> {
+    let begin_ms = holder.now_ms;
+    while holder.now_ms < begin_ms + limit_ms {
+        holder.tick(20);
+        if !holder.starts().is_empty() {
+            return Some(holder.now_ms - begin_ms);
+        }
+    }
+    None
+}
+
+/// The earlier holder acts for a short time after most hosts were shut out, and its last lease ends after that.
+#[test]
+fn successor_waits_for_the_permission_and_the_lease_of_its_predecessor() {
+    let mut holder = successor(5, 3);
+    let lease_ms = holder.app.world().local.bounds.max_run_lease_ms();
+    let waited_ms = time_to_start(&mut holder, 20_000).unwrap();
+    assert!((PERMISSION_MS + lease_ms..PERMISSION_MS + lease_ms + 500).contains(&waited_ms), "{waited_ms}");
+    assert_eq!(holder.starts()[0].1, task_name(1, 0, 0));
+}
+
+/// Most hosts are silent: the earlier holder may still have them.
+#[test]
+fn successor_without_most_hosts_waits_until_its_predecessor_needs_them_all() {
+    let mut holder = successor(5, 2);
+    let waited_ms = time_to_start(&mut holder, 40_000).unwrap();
+    assert!((15_000..25_000).contains(&waited_ms), "{waited_ms}");
+    let mut holder = successor(5, 0);
+    assert_eq!(time_to_start(&mut holder, 40_000), None, "the earlier holder may have all hosts");
+}
+
+/// The log tells on which word the holder acts.
+#[test]
+fn end_of_the_permission_is_logged() {
+    let mut holder = Cell::without_store(5, 30).holder;
+    let mut ended = 0;
+    for _ in 0..200 {
+        ended += log_records(holder.tick(20), EventId::PermissionEnded).len();
+    }
+    assert_eq!(ended, 1);
+}
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -76,6 +76,9 @@
         world.holding.apply_event(HoldingEvent::ClaimWon { fence: FENCE, at_ms: 1_000 });
         world.holding.apply_event(HoldingEvent::Adopted);
         world.holding.polling_since_ms = 1_000;
+        // Tests of the permission to act set its end themselves.
+        world.holding.confirm_claim(u64::MAX);
+        world.holding.shut_out_at_ms = Some(1_000);
         world.holding.greatest_fence = FENCE;
         world.holding.tables_fence = FENCE;
         world.holding.loading.jobs_loaded = true;
--- a/crates/cassiahoist_world/src/holding.rs
+++ b/crates/cassiahoist_world/src/holding.rs
@@ -29,6 +29,8 @@
     pub silent_jobs: FxHashSet<JobId>,
     /// Whether the roster can't be decoded. Then any host may still run tasks of an earlier holder.
     pub is_roster_unreadable: bool,
+    /// Hosts of the roster as read, each with the start of its incarnation in Unix milliseconds.
+    pub roster_hosts: Vec<(HostName, u64)>,
     /// Whether the hosts of the roster are in the tables.
     pub roster_loaded: bool,
     /// Whether the call for the roster is in flight.
@@ -65,6 +67,11 @@
     pub throttled_since_ms: Option<u64>,
 }
 
+/// Time for which a holder may give orders after its claim was certain, in milliseconds.
+///
+/// It is shorter than the lease in the store, so that it ends before a successor can claim. Two renewals of the lease fit in.
+pub const PERMISSION_MS: u64 = 1_200;
+
 /// Multiple of the lowest latency that an order's timeout allows for.
 const LATENCY_FACTOR: u64 = 3;
 
@@ -146,6 +153,16 @@
     ///
     /// Cleared once the store has renewed the lease.
     pub unconfirmed_since_ms: Option<u64>,
+    /// Latest time at which the store showed that nobody else held the slice, in monotonic milliseconds; 0 without a claim.
+    pub claim_confirmed_at_ms: u64,
+    /// Until when this daemon may give orders to hosts under its claim, in monotonic milliseconds; 0 without a claim.
+    pub may_act_until_ms: u64,
+    /// Since when it may do so without a break, in monotonic milliseconds; `None` while it may not. For the log.
+    pub has_permission_since_ms: Option<u64>,
+    /// When enough hosts were shut out from earlier holders for these to lose their permission, in monotonic milliseconds.
+    ///
+    /// `None` before that. Earlier holders may give orders for [`PERMISSION_MS`] longer.
+    pub shut_out_at_ms: Option<u64>,
     /// When the process last resumed after a suspension, in monotonic milliseconds; 0 if never.
     pub resumed_at_ms: u64,
     /// Progress of loading the records of earlier holders.
@@ -202,6 +219,10 @@
             tables_fence: Fence(0),
             last_tick_at_ms: 0,
             unconfirmed_since_ms: None,
+            claim_confirmed_at_ms: 0,
+            may_act_until_ms: 0,
+            has_permission_since_ms: None,
+            shut_out_at_ms: None,
             resumed_at_ms: 0,
             loading: RecordLoading::default(),
             last_holder: None,
@@ -274,12 +295,39 @@
         matches!(self.machine.state(), State::Holding { .. })
     }
 
-    /// Returns whether this daemon holds the slice under a confirmed claim.
+    /// Returns whether this daemon may give orders that work goes on or stops.
+    ///
+    /// Another daemon may hold the slice otherwise.
+    #[must_use]
+    pub fn has_permission(&self, now_ms: u64) -> bool {
+        self.is_holding() && now_ms < self.may_act_until_ms
+    }
+
+    /// Records that the store showed the claim at a time in monotonic milliseconds, and extends the permission.
+    pub fn confirm_claim(&mut self, at_ms: u64) {
+        self.claim_confirmed_at_ms = self.claim_confirmed_at_ms.max(at_ms);
+        self.extend_permission(at_ms.saturating_add(PERMISSION_MS));
+    }
+
+    /// Extends the permission to give orders up to a time in monotonic milliseconds.
+    pub fn extend_permission(&mut self, until_ms: u64) {
+        self.may_act_until_ms = self.may_act_until_ms.max(until_ms);
+    }
+
+    /// Ends the permission to give orders, and forgets what was known of earlier holders.
+    pub fn end_permission(&mut self) {
+        self.claim_confirmed_at_ms = 0;
+        self.may_act_until_ms = 0;
+        self.has_permission_since_ms = None;
+        self.shut_out_at_ms = None;
+    }
+
+    /// Returns whether this daemon may start runs: it has the permission to act, and its claim is confirmed.
     ///
     /// A suspension of the process leaves the claim unconfirmed, since another daemon may have claimed meanwhile.
     #[must_use]
-    pub fn is_confirmed_holder(&self) -> bool {
-        self.is_holding() && self.unconfirmed_since_ms.is_none()
+    pub fn is_confirmed_holder(&self, now_ms: u64) -> bool {
+        self.has_permission(now_ms) && self.unconfirmed_since_ms.is_none()
     }
 
     /// Returns whether the result of a claim is open.
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -184,6 +184,10 @@
     ///
     /// Before the first answer, when the row was created.
     pub last_answer_at_ms: u64,
+    /// When the latest order was issued that the host executed under this daemon's fence, in monotonic milliseconds.
+    ///
+    /// No later holder had been to the host by then. 0 before the first.
+    pub fence_confirmed_at_ms: u64,
     /// Since when the host has been unresponsive, in monotonic milliseconds; `None` if it answers.
     pub unresponsive_since_ms: Option<u64>,
     /// Host clock minus this daemon's monotonic clock at the last answer, in milliseconds.
@@ -254,6 +258,7 @@
             poll: Poll::default(),
             open_extra_polls: 0,
             last_answer_at_ms: now_ms,
+            fence_confirmed_at_ms: 0,
             unresponsive_since_ms: None,
             clock_offset_ms: 0,
             clock_known: false,
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -73,6 +73,10 @@
     pub next_roster_write_at_ms: u64,
     /// When the roster may be written next only to remove hosts, in monotonic milliseconds.
     pub next_roster_removal_at_ms: u64,
+    /// Greatest number of hosts that the stored roster may have: as last read or written, or in a write without an answer.
+    pub roster_size: usize,
+    /// Number of hosts in the write of the roster that is in flight.
+    pub roster_size_in_flight: usize,
     /// Store revision of the roster; 0 if none is stored.
     pub roster_revision: u64,
 }
--- a/examples/prove.rs
+++ b/examples/prove.rs
@@ -1,7 +1,7 @@
 //! Runs seeded simulations with faults and checks them against the scheduler's invariants.
 //!
 //! `cargo run --release --example prove -- --seeds 500`; `--seed N` repeats one seed and prints its log. Each seed is
-//! played with all workloads, with overlapping misfortunes and with tasks that crash their hosts, one in five with full links, and one in twenty with the
+//! played with all workloads, with overlapping misfortunes, with tasks that crash their hosts and with islands, one in five with full links, and one in twenty with the
 //! crowded and the narrow scenario, which take longer; `--full-link-seeds N` and `--crowded-seeds N` set their numbers.
 
 use std::process::ExitCode;
@@ -31,6 +31,8 @@
     Narrow,
     /// Restarts, late orders, silence and changes of the holder that overlap.
     Misfortunes,
+    /// The holder cut off together with some hosts, beside outages of the store and late ticks.
+    Islands,
     /// Tasks that crash their hosts, beside crashes of racks and changes of the holder.
     Deadly,
 }
@@ -44,6 +46,7 @@
             Self::Narrow => Scenario::narrow(seed),
             Self::Misfortunes => Scenario::misfortunes(seed),
             Self::Deadly => Scenario::deadly(seed),
+            Self::Islands => Scenario::islands(seed),
         }
     }
 }
@@ -62,6 +65,7 @@
     narrow: bool,
     misfortunes: bool,
     deadly: bool,
+    islands: bool,
 }
 
 impl Args {
@@ -77,6 +81,8 @@
             Day::Misfortunes
         } else if self.deadly {
             Day::Deadly
+        } else if self.islands {
+            Day::Islands
         } else if self.varied {
             Day::Seeded(Workload::Varied)
         } else if self.copies {
@@ -91,7 +97,7 @@
         let seeds = self.from..self.from + self.seeds;
         let crowded_seeds = self.crowded_seeds.unwrap_or(self.seeds / SEEDS_PER_CROWDED);
         let [plain, varied, copies] = Workload::ALL.map(Day::Seeded);
-        let small_days = [plain, varied, copies, Day::Misfortunes, Day::Deadly];
+        let small_days = [plain, varied, copies, Day::Misfortunes, Day::Deadly, Day::Islands];
         let small = seeds.flat_map(|seed| small_days.map(|day| (seed, day)));
         let large_days = [Day::Crowded, Day::Narrow];
         let large = (self.from..self.from + crowded_seeds).flat_map(|seed| large_days.map(|day| (seed, day)));
@@ -128,6 +134,9 @@
         .help("With --seed: plays restarts, late orders, silence and changes of the holder that overlap")
         .switch();
     let deadly = long("deadly").help("With --seed: plays tasks that crash their hosts").switch();
+    let islands = long("islands")
+        .help("With --seed: plays a holder that is cut off together with some hosts, and late ticks")
+        .switch();
     let full_link = long("full-link")
         .help(
             "With --seed: plays start orders that fill all links, and faults of the daemons that relay them",
@@ -145,7 +154,8 @@
         full_link,
         narrow,
         misfortunes,
-        deadly
+        deadly,
+        islands
     })
     .to_options()
     .descr("Runs seeded simulations with faults")
