Open occurrences of a job only when they are due

Cause: the rows of all occurrences, steps and tasks of a job were made when it was added, however far off they are. Hypotheses 3 and 4 (progress records that list each step begun; due times past the end of their type) were read and are mended with it; no run showed them.

Change: an occurrence has rows from its due time until its tasks are done, at most 1,024 occurrences or 4,096 tasks of a job at a time. A run that a host reports opens its occurrence, so that adoption knows it. Done occurrences are kept as ranges, in the tables and in the progress record. Each end looks at one occurrence and not at the whole job, and later occurrences queue from their own opening, so that other jobs get their turn. Beyond 200,000 task rows large occurrences wait for room. A job of more than 1,024 steps, 16,384 tasks at a time, 100,000,000 occurrences or 4,096 repeated tasks that last is refused at once with 422 and the reason. A stored one that an earlier version accepted fails with that reason and gets no rows.

A test expected one due time for each step; a job now waits for its next occurrence only, so that it has one.

A daemon of an earlier version doesn't read the ranges: it would run done occurrences of a repeated job again. Don't run it beside this one while such jobs are open.

--- a/crates/cassiahoist_core/src/error.rs
+++ b/crates/cassiahoist_core/src/error.rs
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// A task needs more than any host of the queue's pool has.
     SizeTooLarge,
+    /// The job has more steps, tasks or occurrences than a holder can keep.
+    JobTooLarge,
     /// No queue is configured for this host name and path.
     UnknownQueue,
     /// No job has this identity.
@@ -93,6 +95,7 @@
     BadRequest, NotRun, 400, false, "the message is not well formed";
     BodyTooLarge, NotRun, 413, false, "the body is larger than accepted here";
     SizeTooLarge, NotRun, 422, false, "a task needs more than any host of the queue's pool has";
+    JobTooLarge, NotRun, 422, false, "the job has more steps, tasks or occurrences than are accepted";
     UnknownQueue, NotRun, 404, false, "no queue is configured for this host and path";
     UnknownJob, NotRun, 410, false, "no job has this identity";
     NotConfigured, NotRun, 503, true, "this daemon has no configuration yet";
--- a/crates/cassiahoist_daemon/src/views.rs
+++ b/crates/cassiahoist_daemon/src/views.rs
@@ -80,9 +80,8 @@
         .iter()
         .map(|(_, job)| {
             let waiting: usize = job
-                .steps
-                .iter()
-                .filter_map(|step| world.jobs.steps.get(*step))
+                .steps()
+                .filter_map(|step| world.jobs.steps.get(step))
                 .map(|step| step.pending_tasks.len())
                 .sum();
             json!({
@@ -135,9 +134,8 @@
         return json!({ "job": id, "known": false, "holder": holder });
     };
     let steps: Vec<Value> = job
-        .steps
-        .iter()
-        .filter_map(|key| world.jobs.steps.get(*key))
+        .steps()
+        .filter_map(|key| world.jobs.steps.get(key))
         .map(|step| explain_step(world, step))
         .collect();
     json!({
@@ -149,6 +147,12 @@
         "recorded": job.recorded_state,
         "inherited": job.inherited,
         "failure": job.failure.as_ref().map(explain_failure),
+        "occurrences": {
+            "all": job.record.spec.occurrence_count(),
+            "done": job.done_occurrences.len(),
+            "open": job.open_occurrences.len(),
+            "next_due_unix_ms": job.next_due_unix_ms,
+        },
         "steps": steps,
     })
 }
--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -63,6 +63,7 @@
         CallAction::Submit(Err(reason)) => refuse(ErrorKind::BadRequest, reason),
         CallAction::Submit(Ok(spec)) => {
             spec.validate().map_err(|error| (ErrorKind::BadRequest, error.to_string()))?;
+            spec.check_bounds().map_err(|bound| (ErrorKind::JobTooLarge, bound))?;
             check_sizes(world, &queue.policy.pool, spec, now_ms)?;
             accept::accept_job(world, call, job, &queue.policy, spec, now_ms);
             Ok(())
--- a/crates/cassiahoist_jobs/src/job_rows.rs
+++ b/crates/cassiahoist_jobs/src/job_rows.rs
@@ -1,13 +1,18 @@
 //! Turns a job record into rows, and rows into a progress record.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_runs::advance_job;
-use cassiahoist_world::advice::StepAdvice;
-use cassiahoist_world::jobs::{Job, JobKey, Step, StepKey, StepState, Task, TaskState};
+use cassiahoist_runs::{JobEnd, end_job, open_begun_occurrences, open_due_occurrences};
+use cassiahoist_world::jobs::{Job, JobKey, TaskState};
+use cassiahoist_world::occurrences::OccurrenceSet;
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::record::{JobRecord, JobState, ProgressRecord, StepProgress};
+use cassiahoist_world::record::{
+    FailureReason, JobFailure, JobRecord, JobState, ProgressRecord, StepProgress,
+};
+use cassiahoist_world::spec::JobSpec;
+use rustc_hash::FxHashMap;
 
 /// Number of run numbers reserved for each term.
 ///
@@ -23,10 +28,10 @@
     pub term: u64,
 }
 
-/// Inserts a job, its steps and its tasks into the tables.
+/// Inserts a job, and the steps and tasks of its occurrences that are due.
 ///
 /// `inherited` is `None` for a job that no earlier holder can have started. A job that is already final gets no
-/// steps.
+/// steps, and one beyond the bounds of [`JobSpec::check_bounds`], which an earlier version accepted, fails.
 pub fn insert_job(
     world: &mut World,
     record: &Arc<JobRecord>,
@@ -37,11 +42,23 @@
     let is_inherited = inherited.is_some();
     let (progress, revision) =
         inherited.and_then(|state| state.progress).unwrap_or_else(|| (ProgressRecord::default(), 0));
+    let is_open = !progress.state.is_final();
+    let (done_occurrences, unopened_progress) = if is_open {
+        sort_progress(&record.spec, progress.done_occurrences, progress.steps)
+    } else {
+        (OccurrenceSet::default(), BTreeMap::new())
+    };
     let key = world.jobs.insert(Job {
         record: Arc::clone(record),
         state: progress.state,
         recorded_state: progress.state,
-        steps: Vec::new(),
+        open_occurrences: BTreeMap::new(),
+        open_task_count: 0,
+        done_occurrences,
+        next_occurrence: 0,
+        unopened_progress,
+        first_run_number,
+        next_due_unix_ms: None,
         inherited: is_inherited,
         progress_revision: revision,
         added_at_ms: now_ms,
@@ -50,91 +67,59 @@
         crash_changes: 0,
         recorded_crash_changes: 0,
     });
-    if progress.state.is_final() {
+    if !is_open {
         return key;
     }
-    let occurrences = record.spec.repeat.map_or(1, |repeat| repeat.count.max(1));
-    let mut steps = Vec::with_capacity(occurrences as usize * record.spec.steps.len());
-    for occurrence in 0..occurrences {
-        for index in 0..record.spec.steps.len() {
-            let name = StepName { job: record.id, occurrence, index: index as u16 };
-            let step_progress = progress.steps.get(&progress_key(&name));
-            steps.push(insert_step(world, key, name, step_progress, first_run_number));
-        }
-    }
-    if let Some(job) = world.jobs.get_mut(key) {
-        job.steps = steps;
+    if record.spec.check_bounds().is_err() {
+        let step = StepName { job: record.id, occurrence: 0, index: 0 };
+        let task = TaskName { step, index: 0 };
+        let failure = JobFailure { reason: FailureReason::ExceedsBounds, task, crashed_hosts: Vec::new() };
+        end_job(world, key, JobEnd::Failed(failure), now_ms);
+    } else if world.jobs.get(key).is_some_and(Job::is_done) {
+        end_job(world, key, JobEnd::Completed, now_ms);
+    } else {
+        open_begun_occurrences(world, key, now_ms);
+        open_due_occurrences(world, key, now_ms);
     }
-    advance_job(world, key, now_ms);
     key
 }
 
-/// Returns the key of a step within its job's progress record.
-#[must_use]
-pub(crate) fn progress_key(name: &StepName) -> String {
-    format!("{}.{}", name.occurrence, name.index)
-}
+/// Recorded progress of steps, by occurrence and index.
+type ProgressByStep = BTreeMap<(u32, u16), StepProgress>;
 
-fn insert_step(
-    world: &mut World,
-    job: JobKey,
-    name: StepName,
-    progress: Option<&StepProgress>,
-    first_run_number: u64,
-) -> StepKey {
-    let record = world.jobs.get(job).map(|job| Arc::clone(&job.record));
-    let spec = record.as_ref().and_then(|record| record.spec.steps.get(usize::from(name.index)));
-    let task_count = spec.map_or(0, |spec| spec.task_count);
-    let due_unix_ms = record
-        .as_ref()
-        .and_then(|record| record.spec.repeat)
-        .map_or(0, |repeat| repeat.due_unix_ms(name.occurrence));
-    let step_key = world.jobs.steps.insert(Step {
-        job,
-        name,
-        state: StepState::Blocked,
-        tasks: Vec::with_capacity(task_count as usize),
-        pending_tasks: Vec::with_capacity(task_count as usize),
-        done_count: 0,
-        ready_since_ms: 0,
-        due_unix_ms,
-        advice: StepAdvice::default(),
-        gang_failed_runs: progress.map(|progress| progress.gang_failed_runs.clone()).unwrap_or_default(),
-        gang_crashes: progress.map(|progress| progress.gang_crashes.clone()).unwrap_or_default(),
-        last_gang_run: first_run_number,
-    });
-    for index in 0..task_count {
-        let is_done = progress.is_some_and(|progress| progress.is_done(index));
-        let failed_runs = progress.and_then(|progress| progress.failed_runs.get(&index)).cloned();
-        let crashes = progress.and_then(|progress| progress.crashes.get(&index)).cloned();
-        let checkpoint = progress.and_then(|progress| progress.checkpoints.get(&index)).cloned();
-        let task_key = world.jobs.tasks.insert(Task {
-            step: step_key,
-            name: TaskName { step: name, index },
-            state: if is_done { TaskState::Done } else { TaskState::Pending },
-            failed_runs: failed_runs.unwrap_or_default(),
-            crashes: crashes.unwrap_or_default(),
-            last_run_number: first_run_number,
-            detached_runs: Vec::new(),
-            checkpoint: checkpoint.unwrap_or_else(|| Arc::from("")),
-            failed_hosts: Vec::new(),
-            not_before_ms: 0,
-        });
-        if let Some(step) = world.jobs.steps.get_mut(step_key) {
-            step.tasks.push(task_key);
-            if is_done {
-                step.done_count += 1;
-            } else {
-                step.pending_tasks.push(task_key);
-            }
+/// Separates the occurrences that are done from the recorded progress of the others.
+///
+/// Earlier versions list each step of a done occurrence.
+fn sort_progress(
+    spec: &JobSpec,
+    mut done: OccurrenceSet,
+    steps: FxHashMap<String, StepProgress>,
+) -> (OccurrenceSet, ProgressByStep) {
+    let read_key = |key: &str| {
+        let (occurrence, index) = key.split_once('.')?;
+        Some((occurrence.parse::<u32>().ok()?, index.parse::<u16>().ok()?))
+    };
+    let mut progress: ProgressByStep =
+        steps.into_iter().filter_map(|(key, progress)| Some((read_key(&key)?, progress))).collect();
+    let mut done_steps: BTreeMap<u32, usize> = BTreeMap::new();
+    for ((occurrence, index), step_progress) in &progress {
+        let step = spec.steps.get(usize::from(*index));
+        if step.is_some_and(|step| step_progress.are_done(step.task_count)) {
+            *done_steps.entry(*occurrence).or_default() += 1;
         }
     }
-    if let Some(step) = world.jobs.steps.get_mut(step_key)
-        && step.done_count as usize == step.tasks.len()
-    {
-        step.state = StepState::Done;
+    for (occurrence, done_count) in done_steps {
+        if done_count == spec.steps.len() && occurrence < spec.occurrence_count() {
+            done.insert(occurrence);
+        }
     }
-    step_key
+    progress.retain(|(occurrence, _), _| !done.contains(*occurrence));
+    (done, progress)
+}
+
+/// Returns the key of a step within its job's progress record.
+fn progress_key(occurrence: u32, index: u16) -> String {
+    format!("{occurrence}.{index}")
 }
 
 /// Builds the progress record of a job from its rows.
@@ -151,7 +136,12 @@
     if job.state == JobState::Completed {
         return record;
     }
-    for step in job.steps.iter().filter_map(|key| world.jobs.steps.get(*key)) {
+    record.done_occurrences = job.done_occurrences.clone();
+    let unopened = job.unopened_progress.iter();
+    record.steps = unopened
+        .map(|((occurrence, index), step)| (progress_key(*occurrence, *index), step.clone()))
+        .collect();
+    for step in job.steps().filter_map(|key| world.jobs.steps.get(key)) {
         let mut progress = StepProgress {
             gang_failed_runs: step.gang_failed_runs.clone(),
             gang_crashes: step.gang_crashes.clone(),
@@ -173,7 +163,7 @@
             }
         }
         if progress != StepProgress::default() {
-            record.steps.insert(progress_key(&step.name), progress);
+            record.steps.insert(progress_key(step.name.occurrence, step.name.index), progress);
         }
     }
     record
--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cassiahoist_core::prelude::*;
-use cassiahoist_runs::{advance_job, stop_job_runs};
+use cassiahoist_runs::stop_job_runs;
 use cassiahoist_world::inbox::RangeUpdate;
 use cassiahoist_world::peer::PeerMessage;
 use cassiahoist_world::prelude::*;
@@ -147,11 +147,7 @@
     }
     job.state = JobState::Cancelled;
     job.ended_unix_ms = unix_ms;
-    let steps = job.steps.clone();
-    for step in steps {
-        world.jobs.ready.remove(step);
-        world.jobs.remove_due_time(step);
-    }
+    world.jobs.withdraw(key);
     world.jobs.unrecorded_jobs.insert(key);
     world.counters.jobs_ended += 1;
     world.log(LogRecord::new(EventId::JobEnded).with("job", id).with("state", "Cancelled"));
@@ -179,20 +175,3 @@
         }
     }
 }
-
-/// Advances jobs with a blocked step whose due time has come.
-///
-/// It looks only at steps that have become due. One that still waits for earlier steps is looked at again when they end.
-pub fn advance_due_jobs(world: &mut World, now_ms: u64) {
-    let unix_ms = world.local.unix_ms;
-    while let Some((due_unix_ms, step)) = world.jobs.due_times.first().copied() {
-        if unix_ms < due_unix_ms {
-            return world.wake_by(now_ms + (due_unix_ms - unix_ms));
-        }
-        world.jobs.due_times.pop_first();
-        world.counters.steps_visited += 1;
-        if let Some(job) = world.jobs.steps.get(step).map(|step| step.job) {
-            advance_job(world, job, now_ms);
-        }
-    }
-}
--- a/crates/cassiahoist_jobs/src/lib.rs
+++ b/crates/cassiahoist_jobs/src/lib.rs
@@ -38,7 +38,7 @@
             .add_system(TickSet::Calls, calls::retry_calls)
             .add_system(TickSet::Calls, notify::send_notices)
             .add_system(TickSet::Calls, job_updates::apply_notices)
-            .add_system(TickSet::Calls, job_updates::advance_due_jobs)
+            .add_system(TickSet::Calls, cassiahoist_runs::open_waiting_occurrences)
             .add_system(TickSet::StoreWrites, progress::apply_progress_answers)
             .add_system(TickSet::StoreWrites, progress::record_progress)
             .add_system(TickSet::StoreWrites, job_removal::remove_old_jobs)
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -13,6 +13,7 @@
 use crate::crashes::{give_up_crashing_task, settle_crashes, withdraw_crash};
 use crate::lease_expiry::reset_restarted_host;
 use crate::lifecycle::reattach_run;
+use crate::occurrences::find_reported_task;
 use crate::outcome::{end_run, finish_task, record_failed_run};
 use crate::pace::adjust_filler_pace;
 
@@ -110,7 +111,7 @@
         return end_run(world, run, report.ending, &report.checkpoint, now_ms);
     }
     // No row stands for the run: an earlier holder started it, or its lease was considered expired.
-    let Some(task) = world.jobs.find_task(&report.task) else { return };
+    let Some(task) = find_reported_task(world, &report.task, now_ms) else { return };
     match report.ending {
         RunEnding::Done => finish_task(world, task, now_ms),
         // The failure counts even if a later run of the task was adopted first.
@@ -167,7 +168,7 @@
 
 /// Adopts a run without a row if its task is pending, else stops it.
 fn adopt_or_stop_run(world: &mut World, host: HostKey, report: &RunReport, now_ms: u64) -> Option<RunKey> {
-    let task = world.jobs.find_task(&report.task);
+    let task = find_reported_task(world, &report.task, now_ms);
     let is_pending = task
         .is_some_and(|task| world.jobs.tasks.get(task).is_some_and(|task| task.state == TaskState::Pending));
     if let (Some(task), true) = (task, is_pending)
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -11,6 +11,7 @@
 mod lease_expiry;
 mod lifecycle;
 mod load;
+mod occurrences;
 mod order_answers;
 mod outcome;
 mod pace;
@@ -26,7 +27,8 @@
     InheritedStarts, decide_inherited_starts, may_start_inherited_jobs, reset_restarted_host,
 };
 pub use lifecycle::{reserve_run, stop_job_runs, stop_run};
-pub use outcome::advance_job;
+pub use occurrences::{open_begun_occurrences, open_due_occurrences, open_waiting_occurrences};
+pub use outcome::{JobEnd, end_job};
 pub use permission::inherited_leases_end_at_ms;
 
 use cassiahoist_world::prelude::*;
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -194,7 +194,7 @@
 /// Requests that all runs of a job end.
 pub fn stop_job_runs(world: &mut World, job: JobKey, now_ms: u64) {
     let Some(row) = world.jobs.get(job) else { return };
-    let steps = row.steps.iter().filter_map(|step| world.jobs.steps.get(*step));
+    let steps = row.steps().filter_map(|step| world.jobs.steps.get(step));
     let runs: Vec<RunKey> = steps.flat_map(|step| world.jobs.step_runs(step)).collect();
     for run in runs {
         stop_run(world, run, StopReason::JobOver, now_ms);
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -14,6 +14,7 @@
 use crate::crashes::clear_task;
 use crate::health::{record_failure, record_success};
 use crate::lifecycle::{drop_run, requeue_placed_task, requeue_task, stop_job_runs, stop_run};
+use crate::occurrences::close_done_occurrence;
 
 /// Delay before a failed task runs again, in milliseconds. The host's quarantine is decided first.
 const RETRY_DELAY_MS: u64 = 20;
@@ -101,62 +102,48 @@
     if step.done_count as usize == step.tasks.len() && step.state != StepState::Done {
         step.state = StepState::Done;
         step.advice = StepAdvice::default();
-        let job = step.job;
+        let (job, occurrence) = (step.job, step.name.occurrence);
         world.jobs.ready.remove(step_key);
-        advance_job(world, job, now_ms);
+        advance_occurrence(world, job, occurrence, now_ms);
     }
 }
 
-/// Makes steps ready that are due and whose predecessors are done.
+/// Makes the steps of an open occurrence ready that are due and whose predecessors are done.
 ///
-/// It completes the job if every step is done.
-pub fn advance_job(world: &mut World, job_key: JobKey, now_ms: u64) {
-    let Some(job) = world.jobs.get(job_key) else { return };
-    if job.state.is_final() {
-        return;
-    }
-    let steps = job.steps.clone();
-    // Steps are ordered by occurrence of the job, and dependencies are positions within one occurrence.
-    let steps_per_occurrence = job.record.spec.steps.len();
+/// It closes the occurrence if every step is done.
+pub(crate) fn advance_occurrence(world: &mut World, job_key: JobKey, occurrence: u32, now_ms: u64) {
+    let Some(job) = world.jobs.get(job_key).filter(|job| !job.state.is_final()) else { return };
+    let Some(steps) = job.open_occurrences.get(&occurrence).cloned() else { return };
     let unix_ms = world.local.unix_ms;
-    let mut unfinished = false;
-    for (position, step_key) in steps.iter().enumerate() {
+    for step_key in &steps {
         let Some(step) = world.jobs.steps.get(*step_key) else { continue };
-        unfinished |= step.state != StepState::Done;
         if step.state != StepState::Blocked {
             continue;
         }
         if unix_ms < step.due_unix_ms {
-            world.jobs.due_times.insert((step.due_unix_ms, *step_key));
-            continue;
+            let due_unix_ms = step.due_unix_ms;
+            return world.jobs.await_due_time(job_key, due_unix_ms);
         }
-        let occurrence_start = position - position % steps_per_occurrence;
         let unblocked = world.jobs.step_spec(step).is_some_and(|spec| {
             spec.depends_on.iter().all(|index| {
-                let predecessor = steps
-                    .get(occurrence_start + usize::from(*index))
-                    .and_then(|key| world.jobs.steps.get(*key));
+                let predecessor = steps.get(usize::from(*index)).and_then(|key| world.jobs.steps.get(*key));
                 predecessor.is_some_and(|step| step.state == StepState::Done)
             })
         });
         if unblocked && let Some(step) = world.jobs.steps.get_mut(*step_key) {
             step.state = StepState::Ready;
             step.ready_since_ms = now_ms;
-            let has_pending_tasks = !step.pending_tasks.is_empty();
-            world.jobs.remove_due_time(*step_key);
-            if has_pending_tasks {
+            if !step.pending_tasks.is_empty() {
                 world.jobs.mark_ready(*step_key);
             }
         }
     }
-    if !unfinished {
-        end_job(world, job_key, JobEnd::Completed, now_ms);
-    }
+    close_done_occurrence(world, job_key, occurrence, now_ms);
 }
 
 /// How a job ends by itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum JobEnd {
+pub enum JobEnd {
     /// All of its tasks are done.
     Completed,
     /// It can't be done.
@@ -164,7 +151,7 @@
 }
 
 /// Moves a job to a final state and stops its runs.
-pub(crate) fn end_job(world: &mut World, job_key: JobKey, end: JobEnd, now_ms: u64) {
+pub fn end_job(world: &mut World, job_key: JobKey, end: JobEnd, now_ms: u64) {
     let (state, failure) = match end {
         JobEnd::Completed => (JobState::Completed, None),
         JobEnd::Failed(failure) => (JobState::Failed, Some(failure)),
@@ -181,11 +168,8 @@
     job.ended_unix_ms = unix_ms;
     job.failure.clone_from(&failure);
     let took_ms = unix_ms.saturating_sub(job.record.accepted_unix_ms);
-    let (id, queue, steps) = (job.record.id, job.record.policy.queue.clone(), job.steps.clone());
-    for step in steps {
-        world.jobs.ready.remove(step);
-        world.jobs.remove_due_time(step);
-    }
+    let (id, queue) = (job.record.id, job.record.policy.queue.clone());
+    world.jobs.withdraw(job_key);
     world.jobs.unrecorded_jobs.insert(job_key);
     world.counters.jobs_ended += 1;
     world.counters.job_ms.record(took_ms);
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -81,6 +81,8 @@
     pub bursts: Vec<Burst>,
     /// Greatest length that the arguments of jobs have beside their names, in bytes.
     pub max_argument_bytes: usize,
+    /// Share of the submitted jobs that run very many times and are cancelled later, from 0 to 1.
+    pub series_share: f64,
     /// Jobs with a task that crashes its hosts; `None` for no such jobs.
     pub deadly_jobs: Option<DeadlyJobs>,
 }
@@ -125,6 +127,7 @@
             start_spread_ms: 0,
             bursts: Vec::new(),
             max_argument_bytes: 0,
+            series_share: 0.0,
             deadly_jobs: None,
         }
     }
--- a/crates/cassiahoist_standins/src/sim/islands.rs
+++ b/crates/cassiahoist_standins/src/sim/islands.rs
@@ -33,7 +33,8 @@
 }
 
 impl Scenario {
-    /// Draws the scenario of a seed in which the holder and some hosts are cut off, beside outages of the store and late ticks.
+    /// Draws the scenario of a seed in which the holder and some hosts are cut off, beside outages of the store, late
+    /// ticks and jobs that run very many times.
     #[must_use]
     pub fn islands(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
@@ -45,7 +46,7 @@
             draw_isolation(&mut faults, at_ms, &mut rng);
             at_ms += rng.random_range(500..7_000);
         }
-        Self { hosts: HOSTS, workload, faults, ..Self::default() }
+        Self { hosts: HOSTS, workload, faults, series_share: 0.04, ..Self::default() }
     }
 }
 
--- a/crates/cassiahoist_standins/src/workload.rs
+++ b/crates/cassiahoist_standins/src/workload.rs
@@ -258,6 +258,16 @@
     step.deadly_task = Some(rng.random_range(0..step.tasks));
 }
 
+/// Makes a job run very many times, all of them due at once or from some seconds after `unix_ms` on.
+pub fn make_series(rng: &mut SmallRng, job: &mut Job, unix_ms: u64) {
+    let Ok(Value::Object(mut body)) = serde_json::from_slice(&job.body) else { return };
+    let first_run_unix_ms = if rng.random_bool(0.5) { 0 } else { unix_ms + rng.random_range(0..10_000) };
+    body.insert("repeatCount".into(), json!(rng.random_range(10_000..100_000_000)));
+    body.insert("firstRunMs".into(), json!(first_run_unix_ms));
+    body.insert("intervalMs".into(), json!(rng.random_range(1..3_000)));
+    job.body = Value::Object(body).to_string().into_bytes();
+}
+
 /// Draws the label, limit per host and disruption budget of a step.
 fn draw_constraints(rng: &mut SmallRng, queue: usize, step: &mut ActualStep) {
     if queue == BATCH_QUEUE && !step.task.gang && rng.random_bool(0.3) {
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -12,6 +12,7 @@
 mod late_ticks;
 mod link_budget;
 mod load;
+mod long_series;
 mod pace;
 mod permission;
 mod placement;
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod local;
 pub mod members;
 pub mod notices;
+pub mod occurrences;
 pub mod orders;
 pub mod peer;
 pub mod ready_steps;
--- a/crates/cassiahoist_world/src/ready_steps.rs
+++ b/crates/cassiahoist_world/src/ready_steps.rs
@@ -11,8 +11,8 @@
 pub struct Rank {
     /// Priority of the queue; 0 is the most urgent.
     pub priority: u32,
-    /// When the job was added to the tables, in monotonic milliseconds.
-    pub job_added_at_ms: u64,
+    /// When the job was added to the tables, or a later occurrence of it opened, in monotonic milliseconds.
+    pub queued_at_ms: u64,
 }
 
 /// Position of a ready step in the order of placement.
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -8,6 +8,7 @@
 
 use crate::config::QueuePolicy;
 use crate::crashes::CrashHistory;
+use crate::occurrences::OccurrenceSet;
 use crate::spec::JobSpec;
 
 /// A job as accepted; never changed after its creation.
@@ -67,6 +68,8 @@
     FailedRuns,
     /// Hosts crashed again and again under a task, or a gang.
     CrashedHosts,
+    /// The job exceeds the bounds on steps, tasks and occurrences, and was accepted by a version without them.
+    ExceedsBounds,
 }
 
 impl FailureReason {
@@ -76,6 +79,7 @@
         match self {
             Self::FailedRuns => "a task reached the queue's limit of failed runs",
             Self::CrashedHosts => "hosts crashed repeatedly under a task",
+            Self::ExceedsBounds => "the job has more steps, tasks or occurrences than are accepted",
         }
     }
 }
@@ -129,6 +133,12 @@
         self.done[word] |= 1 << (index % WORD_BITS);
     }
 
+    /// Returns whether as many tasks are done.
+    #[must_use]
+    pub fn are_done(&self, task_count: u32) -> bool {
+        self.done.iter().map(|word| word.count_ones()).sum::<u32>() >= task_count
+    }
+
     /// Returns whether the task with this index is done.
     #[must_use]
     pub fn is_done(&self, index: u32) -> bool {
@@ -143,7 +153,12 @@
 pub struct ProgressRecord {
     /// State of the job.
     pub state: JobState,
-    /// Progress by step, under the key `OCCURRENCE.STEP`.
+    /// Occurrences of which every task is done; [`Self::steps`] has nothing of them.
+    ///
+    /// Daemons before this field list the steps of these occurrences instead.
+    #[serde(default, skip_serializing_if = "OccurrenceSet::is_empty")]
+    pub done_occurrences: OccurrenceSet,
+    /// Progress by step of the other occurrences, under the key `OCCURRENCE.STEP`.
     #[serde(default)]
     pub steps: FxHashMap<String, StepProgress>,
     /// When the job reached its final state, in Unix milliseconds; 0 before that.
--- a/crates/cassiahoist_world/src/spec.rs
+++ b/crates/cassiahoist_world/src/spec.rs
@@ -8,6 +8,18 @@
 /// Maximum number of tasks in one step.
 pub const MAX_STEP_TASKS: u32 = 4_096;
 
+/// Maximum number of steps of a job.
+pub const MAX_JOB_STEPS: usize = 1_024;
+
+/// Maximum number of tasks in all steps of a job, each time it runs.
+pub const MAX_JOB_TASKS: u64 = 16_384;
+
+/// Maximum number of times that a job may run: more than once a second for three years.
+pub const MAX_OCCURRENCES: u32 = 100_000_000;
+
+/// Maximum number of tasks that last of a repeated job, in all the times that it runs, since none of them ends.
+pub const MAX_REPEATED_LASTING_TASKS: u64 = 4_096;
+
 /// Maximum length of a job's argument, in bytes.
 pub const MAX_ARGUMENT_BYTES: usize = 4_000;
 
@@ -79,9 +91,11 @@
 
 impl Repeat {
     /// Returns the due time of an occurrence, counted from 0, in Unix milliseconds.
+    ///
+    /// A time beyond the range of the type becomes its end.
     #[must_use]
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
-        self.first_run_unix_ms + u64::from(occurrence) * self.interval_ms
+        self.first_run_unix_ms.saturating_add(u64::from(occurrence).saturating_mul(self.interval_ms))
     }
 }
 
@@ -98,6 +112,45 @@
 }
 
 impl JobSpec {
+    /// Returns the number of times that the job runs.
+    #[must_use]
+    pub fn occurrence_count(&self) -> u32 {
+        self.repeat.map_or(1, |repeat| repeat.count.max(1))
+    }
+
+    /// Returns the number of tasks each time that the job runs.
+    #[must_use]
+    pub fn tasks_per_occurrence(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.task_count)).sum()
+    }
+
+    /// Checks the numbers of steps, tasks and occurrences against the bounds that keep a holder's tables small.
+    ///
+    /// # Errors
+    /// Returns the bound that the job exceeds, in words.
+    pub fn check_bounds(&self) -> Result<(), String> {
+        if self.steps.len() > MAX_JOB_STEPS {
+            return Err(format!("{} steps, at most {MAX_JOB_STEPS} are accepted", self.steps.len()));
+        }
+        let (tasks, occurrences) = (self.tasks_per_occurrence(), self.occurrence_count());
+        if tasks == 0 {
+            return Err("no tasks".into());
+        }
+        if tasks > MAX_JOB_TASKS {
+            return Err(format!("{tasks} tasks at a time, at most {MAX_JOB_TASKS} are accepted"));
+        }
+        if occurrences > MAX_OCCURRENCES {
+            return Err(format!("{occurrences} occurrences, at most {MAX_OCCURRENCES} are accepted"));
+        }
+        let lasts = self.steps.iter().any(|step| step.runs_until_cancelled);
+        if occurrences > 1 && lasts && tasks * u64::from(occurrences) > MAX_REPEATED_LASTING_TASKS {
+            return Err(format!(
+                "{occurrences} occurrences of {tasks} tasks that last, at most {MAX_REPEATED_LASTING_TASKS} such tasks are accepted"
+            ));
+        }
+        Ok(())
+    }
+
     /// Validates the length of the argument, the numbers of tasks and the dependencies.
     ///
     /// # Errors
