Number calls apart for each incarnation

Cause, by reading: a peer's reply names only the number of the call, and numbers began at 1 again after a restart of the daemon that asked. A reply to a call of the earlier incarnation then answered whichever call had got its number, as a question to the holder and as a relayed call.

Change: an incarnation counts from its start time in milliseconds times 2^20, for callers' calls and relayed ones, so that numbers of two incarnations never meet unless one makes over a million calls a millisecond.

--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -140,7 +140,7 @@
     runtime: &Runtime,
     caller_stop: watch::Receiver<bool>,
 ) -> Result<(Dispatcher<SitePlatform>, TableMetrics), HoistError> {
-    let control = ControlLink::new(sender);
+    let control = ControlLink::new(sender).with_incarnation(incarnation);
     let meter = TrafficMeter::new().with_descriptors_limit(settings.daemon.max_descriptors);
     let peers = PeerLinks::new(PeerSender {
         incarnation: incarnation.clone(),
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -346,3 +346,34 @@
     holder.answer_store(read, Ok(StoreReply::Item(None)));
     assert_eq!(answer_to(&holder, 9), None);
 }
+
+/// A peer that relayed a call asks the holder under a number of its own, and restarts before the reply.
+#[test]
+fn reply_to_a_call_of_an_earlier_incarnation_answers_no_other_call() {
+    let mut requests = Vec::new();
+    for incarnation in ["edge-0#1790000000000", "edge-0#1790000000500"] {
+        let mut local = crate::support::new_local();
+        local.incarnation = incarnation.parse().unwrap();
+        let mut peer = TestDaemon {
+            app: cassiahoist_daemon::build_daemon_app(local),
+            now_ms: 1_000,
+            effects: Vec::new(),
+        };
+        let claim = cassiahoist_world::record::ClaimRecord {
+            holder: "edge-2#1".parse().unwrap(),
+            peer_address: "10.1.0.2:7720".into(),
+            term: 1,
+        };
+        peer.app.world_mut().holding.claim = Some((claim, FENCE.0));
+        let from = PeerSender { incarnation: "edge-1#1".parse().unwrap(), address: "10.1.0.1:7720".into() };
+        let message =
+            PeerMessage::RelayRequest { call: 5, action: RelayAction::Query(JobId(1)), timeout_ms: 2_000 };
+        let effects = peer.receive_event(Event::PeerMessageReceived { from, message });
+        let asked = effects.iter().find_map(|effect| match effect {
+            Effect::SendPeerMessage { message: PeerMessage::StateRequest { call, .. }, .. } => Some(*call),
+            _ => None,
+        });
+        requests.push(asked.unwrap());
+    }
+    assert_ne!(requests[0], requests[1]);
+}
--- a/crates/cassiahoist_traffic/src/control_link.rs
+++ b/crates/cassiahoist_traffic/src/control_link.rs
@@ -6,9 +6,9 @@
 use std::sync::mpsc::{SyncSender, TrySendError};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use cassiahoist_core::prelude::JobId;
+use cassiahoist_core::prelude::{Incarnation, JobId};
 use cassiahoist_declarations::Declarations;
-use cassiahoist_world::calls::{CallAnswer, CallNumber};
+use cassiahoist_world::calls::{CallAnswer, CallNumber, first_call_number};
 use cassiahoist_world::declarations::{DeclareCall, DeclareCallNumber, DeclareOutcome};
 use cassiahoist_world::event::Event;
 use rustc_hash::FxHashMap;
@@ -121,6 +121,15 @@
         Self { sender, calls: Arc::default(), declare_calls: Arc::default() }
     }
 
+    /// Numbers the calls of callers from the first number of an incarnation on.
+    ///
+    /// A peer's answer to a call of an earlier incarnation then belongs to no call of this one.
+    #[must_use]
+    pub fn with_incarnation(self, incarnation: &Incarnation) -> Self {
+        self.calls.last_number.store(first_call_number(incarnation), Ordering::Relaxed);
+        self
+    }
+
     /// Sends an event without waiting. Returns false if the queue is full or the control thread has ended.
     #[must_use]
     pub fn try_send(&self, event: Event) -> bool {
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -104,11 +104,25 @@
     },
 }
 
-/// Offset of the numbers of relayed calls, which count from 1.
+/// Offset of the numbers of relayed calls.
 ///
 /// It keeps them above the numbers of callers' calls.
 pub const RELAYED_CALL_BASE: CallNumber = 1 << 62;
 
+/// Calls that an incarnation may make for each millisecond by which the next one starts later, as a power of two.
+const CALLS_PER_MS_BITS: u32 = 20;
+
+/// Bits of the start of an incarnation, in Unix milliseconds, that its numbers hold. They last until 2039.
+const START_BITS: u32 = 41;
+
+/// Returns the number after which an incarnation numbers its calls.
+///
+/// A peer may answer a call of an earlier incarnation of this daemon. Its number must not be that of another call.
+#[must_use]
+pub fn first_call_number(incarnation: &Incarnation) -> CallNumber {
+    (incarnation.started_unix_ms & ((1 << START_BITS) - 1)) << CALLS_PER_MS_BITS
+}
+
 /// Stage of an open call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallStage {
--- a/crates/cassiahoist_world/src/world.rs
+++ b/crates/cassiahoist_world/src/world.rs
@@ -3,7 +3,7 @@
 use cassiahoist_core::prelude::*;
 
 use crate::advice::AdviceTable;
-use crate::calls::{CallAnswer, CallNumber, CallOrigin, CallTable};
+use crate::calls::{CallAnswer, CallNumber, CallOrigin, CallTable, first_call_number};
 use crate::config::ConfigTable;
 use crate::counters::Counters;
 use crate::declarations::DeclarationTable;
@@ -73,6 +73,7 @@
     /// Creates empty tables, with no tick due.
     #[must_use]
     pub fn new(local: LocalDaemon) -> Self {
+        let relayed_call_count = first_call_number(&local.incarnation);
         Self {
             local,
             store_connection: StoreConnection::default(),
@@ -86,7 +87,7 @@
             handled_starts: HandledStartTable::default(),
             advice: AdviceTable::default(),
             store_writes: StoreWriteTable::default(),
-            calls: CallTable::default(),
+            calls: CallTable { relayed_call_count, ..CallTable::default() },
             holder_notices: Vec::new(),
             inbox: Inbox::default(),
             outbox: Vec::new(),
