Look only at occurrences that a step of the clock concerns

Each due time of a repeated job looked again at all of its open occurrences, up to 1,024 a tick. Only those that are due from that time on can have been passed over, so only these are looked at. The permission's length is checked against the lease's at build time.

--- a/crates/cassiahoist_membership/src/lease.rs
+++ b/crates/cassiahoist_membership/src/lease.rs
@@ -1,6 +1,7 @@
 //! Lease of this daemon in the store.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::holding::PERMISSION_MS;
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::store::{StoreOp, StorePurpose, StoreReply};
 
@@ -11,6 +12,9 @@
 /// It bounds the time to detect a dead holder. A greater `min_lease_ms` of the bounds takes its place.
 pub(crate) const LEASE_TTL_MS: u64 = 1_500;
 
+// A holder loses its permission to act before another daemon can claim.
+const _: () = assert!(PERMISSION_MS < LEASE_TTL_MS);
+
 /// Interval between renewals at the holder, in milliseconds. Two may fail before the lease ends.
 pub(crate) const HOLDER_RENEWAL_INTERVAL_MS: u64 = 400;
 
--- a/crates/cassiahoist_runs/src/occurrences.rs
+++ b/crates/cassiahoist_runs/src/occurrences.rs
@@ -95,9 +95,9 @@
 /// Opens occurrences of jobs whose due time has come, and of those for which the tables have room again.
 pub fn open_waiting_occurrences(world: &mut World, now_ms: u64) {
     let unix_ms = world.local.unix_ms;
-    while let Some(key) = world.jobs.take_due_job(unix_ms) {
+    while let Some((due_unix_ms, key)) = world.jobs.take_due_job(unix_ms) {
         world.counters.steps_visited += 1;
-        advance_undue_occurrences(world, key, now_ms);
+        advance_undue_occurrences(world, key, due_unix_ms, now_ms);
         open_due_occurrences(world, key, now_ms);
     }
     if let Some((due_unix_ms, _)) = world.jobs.due_times.first() {
@@ -112,11 +112,16 @@
     }
 }
 
-/// Looks again at open occurrences that were not due when they were last looked at, as after a step of the clock.
-fn advance_undue_occurrences(world: &mut World, key: JobKey, now_ms: u64) {
+/// Looks again at the open occurrences that are due from a Unix time on, in milliseconds.
+///
+/// After a step of the clock they may not have been due when they were last looked at.
+fn advance_undue_occurrences(world: &mut World, key: JobKey, due_unix_ms: u64, now_ms: u64) {
     let Some(job) = world.jobs.get(key) else { return };
-    let open: Vec<u32> = job.open_occurrences.keys().copied().collect();
-    for occurrence in open {
+    let Some(repeat) = job.record.spec.repeat else { return };
+    let open = job.open_occurrences.keys().rev().copied();
+    let undue: Vec<u32> =
+        open.take_while(|occurrence| repeat.due_unix_ms(*occurrence) >= due_unix_ms).collect();
+    for occurrence in undue {
         advance_occurrence(world, key, occurrence, now_ms);
     }
 }
--- a/crates/cassiahoist_runs/src/permission.rs
+++ b/crates/cassiahoist_runs/src/permission.rs
@@ -2,7 +2,7 @@
 //!
 //! A claim can end without its holder's knowledge, while the holder still reaches some hosts. So it gives orders only for a
 //! short time after its claim was certain. That is shown by the store, which renewed the lease, or by most hosts of the roster,
-//! which took its orders: a successor gives their fences to most hosts first. With the store away from everybody,
+//! which took its orders: a successor gives its fence to most hosts first. With the store away from everybody,
 //! the hosts let the holder go on.
 
 use cassiahoist_core::prelude::*;
--- a/crates/cassiahoist_standins/tests/systems/late_ticks.rs
+++ b/crates/cassiahoist_standins/tests/systems/late_ticks.rs
@@ -75,7 +75,6 @@
             holder.now_ms += gap_ms;
             let clock_ms = (outcome != OrderOutcome::Unknown).then_some(issued_at_ms + gap_ms);
             holder.answer_issued_at(poll, outcome, clock_ms, issued_at_ms);
-            holder.app.world_mut().store_connection.lease_renewed_at_ms = holder.now_ms;
             let in_tick = holder.orders().filter(is_poll).count();
             let is_poll = |effect: &Effect| matches!(effect, Effect::SendOrder { order, .. } if is_poll(&order.as_ref()));
             let polls = in_tick + count_effects(&mut holder, 1_000, is_poll);
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -293,8 +293,8 @@
         self.due_times.insert((due_unix_ms, key));
     }
 
-    /// Takes the next job whose due time has come by a Unix time in milliseconds.
-    pub fn take_due_job(&mut self, unix_ms: u64) -> Option<JobKey> {
+    /// Takes the next job whose due time has come by a Unix time in milliseconds, with that due time.
+    pub fn take_due_job(&mut self, unix_ms: u64) -> Option<(u64, JobKey)> {
         let (due_unix_ms, key) = self.due_times.first().copied()?;
         if unix_ms < due_unix_ms {
             return None;
@@ -303,7 +303,7 @@
         if let Some(job) = self.rows.get_mut(key) {
             job.next_due_unix_ms = None;
         }
-        Some(key)
+        Some((due_unix_ms, key))
     }
 
     /// Lets a job wait until the tables have room for an occurrence.
