--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -443,8 +443,9 @@
 
 /// Orders that left before a restart was noticed take effect at the new incarnation.
 ///
-/// Known red: with a silent store no newer token shuts them out (967), a late poll extends a lease beyond the one that the
-/// next holder waits for (1518), and a host that restarts within a second of its start goes unnoticed (1570).
+/// With a silent store no newer token shuts them out (967), a late poll extends a lease beyond the one that the next holder
+/// waits for (1518), and a host that restarts within a second of its start goes unnoticed (1570). The causes remain; days
+/// take another course since holders need confirmations.
 #[test]
 fn late_orders_at_a_later_incarnation_start_no_task_twice() {
     for seed in [967, 1_518, 1_570] {
