--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -264,6 +264,9 @@
 /// Case 10: a client leaves when its job is not answered at once, and cancels it at another daemon.
 fn cancelled_before_stored(trouble: bool) -> Outcome {
     const ROUNDS: usize = 3;
+    /// Jobs of other clients in each round, which wait for their answers.
+    const OTHERS: usize = 6;
+    const OTHER_JOB: &str = r#"{"spec":"check","steps":[{"count":1,"cpu":100,"memMb":10,"estimateMs":50}]}"#;
     const PATIENCE: Duration = Duration::from_millis(250);
     const CANCEL_MS: u64 = 3_000;
     const STOP_TIMEOUT_MS: u64 = 900;
@@ -281,6 +284,12 @@
     let mut cancelled: Vec<(String, u64)> = Vec::new();
     for round in 0..ROUNDS {
         let id = format!("{}{round:x}", &JOB[..15]);
+        for other in 0..OTHERS {
+            let id = format!("{:016x}", 0xc000 + round * OTHERS + other);
+            if system.call_daemon(second, "POST", &id, OTHER_JOB, Duration::from_secs(3)) != Some(200) {
+                return Err(format!("job {id} was not accepted"));
+            }
+        }
         if trouble {
             system.delay_next_write(first);
         }
