--- a/crates/cassiahoist_core/src/error.rs
+++ b/crates/cassiahoist_core/src/error.rs
@@ -33,6 +33,8 @@
     UnknownQueue,
     /// No job has this identity.
     UnknownJob,
+    /// The job was cancelled before it was stored.
+    JobCancelled,
     /// The daemon has not read a configuration yet.
     NotConfigured,
     /// The platform's store is unreachable, and the job was not stored.
@@ -98,6 +100,7 @@
     JobTooLarge, NotRun, 422, false, "the job has more steps, tasks or occurrences than are accepted";
     UnknownQueue, NotRun, 404, false, "no queue is configured for this host and path";
     UnknownJob, NotRun, 410, false, "no job has this identity";
+    JobCancelled, NotRun, 410, false, "the job was cancelled before it was accepted";
     NotConfigured, NotRun, 503, true, "this daemon has no configuration yet";
     StoreAway, NotRun, 503, true, "the store is away; the job was not accepted";
     StateAway, NotRun, 503, true, "the state can't be read at present";
--- a/crates/cassiahoist_jobs/src/accept.rs
+++ b/crates/cassiahoist_jobs/src/accept.rs
@@ -47,9 +47,9 @@
     }
 }
 
-/// Creates a job's record on condition that none exists.
+/// Creates a job's record on condition that none exists and that the job was not cancelled.
 ///
-/// The claim, or without one the term record, is a second condition: the record names the holders that may start the job.
+/// The claim, or without one the term record, is a further condition: the record names the holders that may start the job.
 pub(crate) fn store_job(world: &mut World, number: CallNumber, now_ms: u64) {
     if world.store_connection.is_unresponsive(now_ms) {
         // This attempt is not sent, so it cannot store the job.
@@ -63,6 +63,7 @@
     let key = StoreKey::Job(call.job);
     let transaction = Transaction::default()
         .with_expect(key.clone(), 0)
+        .with_expect(StoreKey::Cancel(call.job), 0)
         .with_expect(StoreKey::Claim(SLICE), claim.unwrap_or_default())
         .with_put(key, StoreValue::Job(Arc::clone(record)));
     let transaction = match claim {
@@ -99,6 +100,11 @@
             if let Some(stored) = stored {
                 return finish_accept(world, number, stored, now_ms);
             }
+            if items.iter().any(|item| item.key == StoreKey::Cancel(call.job)) {
+                // No attempt has stored the job, and none can any more.
+                let reason = "it was cancelled before it was stored";
+                return refuse_call(world, number, ErrorKind::JobCancelled, reason, now_ms);
+            }
             // The condition on the claim or the term failed: the holder has changed or is gone.
             apply_claim_conflict(world, items, now_ms);
             store_job(world, number, now_ms);
--- a/crates/cassiahoist_jobs/src/calls.rs
+++ b/crates/cassiahoist_jobs/src/calls.rs
@@ -113,11 +113,12 @@
 /// Drops calls whose callers disconnected, except those that write to the store.
 pub fn drop_disconnected_callers(world: &mut World, _now_ms: u64) {
     for number in std::mem::take(&mut world.inbox.disconnected_calls) {
-        let is_writing = world
-            .calls
-            .open
-            .get(&number)
-            .is_some_and(|call| matches!(call.stage, CallStage::Storing { .. } | CallStage::Cancelling));
+        let is_writing = world.calls.open.get(&number).is_some_and(|call| {
+            matches!(
+                call.stage,
+                CallStage::Storing { .. } | CallStage::Cancelling | CallStage::CancellingUnstored
+            )
+        });
         // A write that may take effect is completed, so that the holder is notified of it.
         if !is_writing {
             world.calls.open.remove(&number);
@@ -230,6 +231,8 @@
             query::query_store(world, number, now_ms);
         }
         CallStage::CheckingJobExists => cancel::look_up_job(world, number, now_ms),
-        CallStage::Cancelling => cancel::store_cancellation(world, number, now_ms),
+        CallStage::Cancelling | CallStage::CancellingUnstored => {
+            cancel::store_cancellation(world, number, now_ms);
+        }
     }
 }
--- a/crates/cassiahoist_jobs/src/cancel.rs
+++ b/crates/cassiahoist_jobs/src/cancel.rs
@@ -1,4 +1,8 @@
 //! Cancels jobs: a job is cancelled once the cancellation is in the store.
+//!
+//! That a job is not in the store doesn't mean that it never will be, since an attempt to store it may be open at any
+//! daemon or on its way to the store. So the cancellation is stored as well, and [`store_job`](crate::accept::store_job)
+//! requires that there is none.
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::calls::{CallAnswer, CallNumber, CallStage, OpenCall};
@@ -29,7 +33,7 @@
     }
 }
 
-/// Reads the job from the store, since only an existing job can be cancelled.
+/// Reads the job from the store, since the answer depends on whether it is there.
 pub(crate) fn look_up_job(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(call) = world.calls.open.get(&number) else { return };
     let (key, deadline_ms) = (StoreKey::Job(call.job), call.deadline_ms);
@@ -37,10 +41,14 @@
     world.call_store(StorePurpose::CancelJob(number), StoreOp::Get(key), now_ms, timeout_ms);
 }
 
-/// Writes the cancellation to the store.
+/// Writes the cancellation to the store. That of a job which is not stored requires that this still holds.
 pub(crate) fn store_cancellation(world: &mut World, number: CallNumber, now_ms: u64) {
     let Some(call) = world.calls.open.get(&number) else { return };
     let transaction = Transaction::default().with_put(StoreKey::Cancel(call.job), StoreValue::Cancel);
+    let transaction = match call.stage {
+        CallStage::CancellingUnstored => transaction.with_expect(StoreKey::Job(call.job), 0),
+        _ => transaction,
+    };
     let timeout_ms = STORE_TIMEOUT_MS.min(call.deadline_ms.saturating_sub(now_ms));
     world.call_store(StorePurpose::CancelJob(number), StoreOp::Commit(transaction), now_ms, timeout_ms);
 }
@@ -58,12 +66,18 @@
 fn apply_cancel_answer(world: &mut World, number: CallNumber, completion: &StoreCompletion, now_ms: u64) {
     let Some(call) = world.calls.open.get_mut(&number) else { return };
     match &completion.outcome {
-        Ok(StoreReply::Item(Some(_))) => {
+        // A conflict means that the job was stored after it was looked up.
+        Ok(StoreReply::Item(Some(_)) | StoreReply::Conflict { .. }) => {
             call.stage = CallStage::Cancelling;
             store_cancellation(world, number, now_ms);
         }
         Ok(StoreReply::Item(None)) => {
-            refuse_call(world, number, ErrorKind::UnknownJob, "the store has no such job", now_ms);
+            call.stage = CallStage::CancellingUnstored;
+            store_cancellation(world, number, now_ms);
+        }
+        Ok(StoreReply::Committed { .. }) if call.stage == CallStage::CancellingUnstored => {
+            let reason = "the store has no such job and takes it no more";
+            refuse_call(world, number, ErrorKind::UnknownJob, reason, now_ms);
         }
         Ok(StoreReply::Committed { .. }) => {
             let job = call.job;
@@ -75,7 +89,7 @@
             call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
         }
         Ok(_) | Err(StoreFailure::Unknown) => {
-            call.may_be_stored |= call.stage == CallStage::Cancelling;
+            call.may_be_stored |= call.stage != CallStage::CheckingJobExists;
             call.retry_at_ms = Some(now_ms + STORE_RETRY_MS);
         }
     }
--- a/crates/cassiahoist_jobs/src/job_removal.rs
+++ b/crates/cassiahoist_jobs/src/job_removal.rs
@@ -9,18 +9,18 @@
 };
 
 /// Interval between searches for expired jobs, in milliseconds. Each goes over all jobs.
-const JOB_REMOVAL_INTERVAL_MS: u64 = 5_000;
+pub(crate) const JOB_REMOVAL_INTERVAL_MS: u64 = 5_000;
 
 /// Interval between removals while one transaction does not hold all expired jobs, in milliseconds.
-const REMAINING_JOBS_INTERVAL_MS: u64 = 500;
+pub(crate) const REMAINING_JOBS_INTERVAL_MS: u64 = 500;
 
 /// Time beyond `bounds.status_ms` for which a job's state is kept, in milliseconds.
 ///
 /// `bounds.status_ms` is the time promised to callers.
-const RETENTION_MARGIN_MS: u64 = 30_000;
+pub(crate) const RETENTION_MARGIN_MS: u64 = 30_000;
 
 /// Timeout of a removal, in milliseconds.
-const REMOVAL_TIMEOUT_MS: u64 = 1_000;
+pub(crate) const REMOVAL_TIMEOUT_MS: u64 = 1_000;
 
 /// Store keys of each job: record, cancellation and progress.
 const KEYS_PER_JOB: usize = 3;
--- a/crates/cassiahoist_jobs/src/job_updates.rs
+++ b/crates/cassiahoist_jobs/src/job_updates.rs
@@ -13,6 +13,7 @@
 use cassiahoist_world::store::{KeySpace, StoreChange, StoreItem, StoreKey, StoreValue};
 use rustc_hash::FxHashSet;
 
+use crate::cancellation_removal::note_unstored_cancellation;
 use crate::job_rows::{InheritedState, insert_job};
 
 /// Maximum number of cancellations that are kept for jobs not yet in the tables.
@@ -75,6 +76,9 @@
     }
     for job in cancelled_jobs {
         apply_cancellation(world, job, now_ms);
+        if world.jobs.find(&job).is_none() {
+            note_unstored_cancellation(world, job, now_ms);
+        }
     }
 }
 
--- a/crates/cassiahoist_jobs/src/lib.rs
+++ b/crates/cassiahoist_jobs/src/lib.rs
@@ -6,6 +6,7 @@
 mod accept;
 mod calls;
 mod cancel;
+mod cancellation_removal;
 mod heartbeat;
 mod job_removal;
 mod job_rows;
@@ -42,6 +43,7 @@
             .add_system(TickSet::StoreWrites, progress::apply_progress_answers)
             .add_system(TickSet::StoreWrites, progress::record_progress)
             .add_system(TickSet::StoreWrites, job_removal::remove_old_jobs)
+            .add_system(TickSet::StoreWrites, cancellation_removal::remove_unstored_cancellations)
             .add_system(TickSet::Outgoing, heartbeat::send_heartbeat);
     }
 }
--- a/crates/cassiahoist_jobs/src/relay.rs
+++ b/crates/cassiahoist_jobs/src/relay.rs
@@ -36,7 +36,9 @@
         CallStage::QueryingHolder { .. } | CallStage::ReadingProgress | CallStage::ReadingJob => {
             RelayAction::Query(call.job)
         }
-        CallStage::CheckingJobExists | CallStage::Cancelling => RelayAction::Cancel(call.job),
+        CallStage::CheckingJobExists | CallStage::Cancelling | CallStage::CancellingUnstored => {
+            RelayAction::Cancel(call.job)
+        }
     }
 }
 
@@ -139,7 +141,9 @@
     }
     call.relay_deadline_ms = None;
     match answer {
-        CallAnswer::Error { kind: ErrorKind::UnknownJob, .. } => world.answer_call(number, answer),
+        CallAnswer::Error { kind: ErrorKind::UnknownJob | ErrorKind::JobCancelled, .. } => {
+            world.answer_call(number, answer);
+        }
         CallAnswer::Error { kind, .. } => {
             call.retry_at_ms = Some(now_ms);
             call.may_be_stored |= kind.answer().outcome == JobOutcome::Unknown;
--- a/crates/cassiahoist_standins/src/invariants/jobs.rs
+++ b/crates/cassiahoist_standins/src/invariants/jobs.rs
@@ -4,6 +4,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::{Invariant, InvariantCheck, Violation};
+use crate::sim::is_cancel_confirmed;
 use crate::trace::Observation;
 use crate::workload::{GroundTruth, MAX_ATTEMPTS};
 
@@ -104,7 +105,7 @@
                 self.cancel_sent.insert(*job);
             }
             Observation::CancelAnswered { job, status } => {
-                if (200..300).contains(status) {
+                if is_cancel_confirmed(*status) {
                     self.cancelled.entry(*job).or_insert(at_ms);
                 }
             }
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -32,7 +32,7 @@
 use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
 
-pub use callers::{Burst, Callers};
+pub use callers::{Burst, Callers, is_cancel_confirmed};
 pub use daemon::{Daemon, daemon_name};
 pub use faults::{Fault, StoreHealth};
 pub use islands::{CutDirection, IslandCut};
@@ -89,6 +89,9 @@
     pub long_share: f64,
     /// Jobs with a task that crashes its hosts; `None` for no such jobs.
     pub deadly_jobs: Option<DeadlyJobs>,
+    /// Time after which callers leave a submission without an answer and cancel the job, in milliseconds. `None` if
+    /// they submit it again.
+    pub leave_after_ms: Option<u64>,
 }
 
 /// Jobs of which one task ends the process of each host that starts it.
@@ -134,6 +137,7 @@
             series_share: 0.0,
             long_share: 0.0,
             deadly_jobs: None,
+            leave_after_ms: None,
         }
     }
 }
--- a/crates/cassiahoist_standins/src/sim/callers.rs
+++ b/crates/cassiahoist_standins/src/sim/callers.rs
@@ -70,6 +70,12 @@
 /// Version that is never written.
 const UNWRITTEN_VERSION: u64 = 1_000_000;
 
+/// Returns whether an answer, by its HTTP status, says that a job runs no longer or never.
+#[must_use]
+pub fn is_cancel_confirmed(status: u16) -> bool {
+    (200..300).contains(&status) || status == 410
+}
+
 #[derive(Debug)]
 struct PendingCall {
     job: JobId,
@@ -87,6 +93,10 @@
     attempts: u32,
     next_call_ms: u64,
     cancel_at_ms: Option<u64>,
+    /// When the latest submission was sent, in milliseconds.
+    submitted_at_ms: u64,
+    /// Whether the caller left a submission without an answer.
+    has_left: bool,
     ended: bool,
 }
 
@@ -128,6 +138,7 @@
 impl Simulation {
     pub(super) fn send_caller_requests(&mut self) {
         self.expire_calls();
+        self.leave_unanswered_submissions();
         self.draw_due_job();
         self.draw_burst_jobs();
         if self.scenario.workload == Workload::Varied {
@@ -141,8 +152,12 @@
             }
             tracked.next_call_ms = now_ms + QUERY_INTERVAL_MS;
             let job = tracked.job.id;
-            let kind = if !tracked.accepted {
+            let kind = if tracked.has_left {
+                tracked.next_call_ms = now_ms + CALL_TIMEOUT_MS;
+                CallKind::Cancel
+            } else if !tracked.accepted {
                 tracked.next_call_ms = now_ms + CALL_TIMEOUT_MS + 100;
+                tracked.submitted_at_ms = now_ms;
                 tracked.attempts += 1;
                 CallKind::Submit
             } else if tracked.cancel_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
@@ -155,6 +170,33 @@
         }
     }
 
+    /// Lets callers leave whose submissions have no answer in time. They cancel the jobs next.
+    fn leave_unanswered_submissions(&mut self) {
+        let Some(leave_after_ms) = self.scenario.leave_after_ms else { return };
+        let now_ms = self.now_ms;
+        let mut left: Vec<(CallNumber, JobId, usize)> = Vec::new();
+        for (number, pending) in &self.callers.pending {
+            let position = self.callers.positions.get(&pending.job);
+            let tracked = position.and_then(|position| self.callers.tracked.get(*position));
+            if pending.kind == CallKind::Submit
+                && tracked.is_some_and(|tracked| now_ms >= tracked.submitted_at_ms + leave_after_ms)
+            {
+                left.push((*number, pending.job, pending.daemon));
+            }
+        }
+        left.sort_unstable_by_key(|(number, ..)| *number);
+        for (number, job, daemon) in left {
+            self.callers.pending.remove(&number);
+            self.record_submission(job, 0);
+            let daemon_started_unix_ms = self.daemons[daemon].started_unix_ms;
+            self.deliver(daemon, daemon_started_unix_ms, Event::CallerDisconnected(number), 0);
+            if let Some(tracked) = self.find_tracked_mut(job) {
+                tracked.has_left = true;
+                tracked.next_call_ms = now_ms;
+            }
+        }
+    }
+
     fn draw_due_job(&mut self) {
         let end_ms = TRAFFIC_START_MS + self.scenario.traffic_ms;
         if self.now_ms < TRAFFIC_START_MS || self.now_ms > end_ms || self.now_ms < self.callers.next_job_ms {
@@ -204,6 +246,8 @@
             attempts: 0,
             next_call_ms: 0,
             cancel_at_ms,
+            submitted_at_ms: 0,
+            has_left: false,
             ended: false,
         });
     }
@@ -307,10 +351,11 @@
             CallKind::Submit => self.record_submission(job, status),
             CallKind::Cancel => {
                 self.platform.trace.record(self.now_ms, Observation::CancelAnswered { job, status });
-                if (200..300).contains(&status)
+                if is_cancel_confirmed(status)
                     && let Some(tracked) = self.find_tracked_mut(job)
                 {
                     tracked.cancel_at_ms = None;
+                    tracked.ended |= tracked.has_left;
                 }
             }
             CallKind::Query => self.record_state(job, status, answer),
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -114,6 +114,30 @@
     );
 }
 
+/// Callers leave without an answer and cancel at another daemon, while writes that got no answer take effect late.
+///
+/// Jobs that were stored after their cancellation ran to their end. The daemons are also killed within that time.
+#[test]
+fn jobs_cancelled_by_callers_that_left_never_start() {
+    for seed in 1..=12 {
+        let health = StoreHealth {
+            reply_loss_probability: 0.35,
+            max_effect_delay_ms: 5_000,
+            ..StoreHealth::default()
+        };
+        let faults = vec![
+            (5_000, set_store_health(health)),
+            (7_000, Fault::KillHolder(1_000)),
+            (9_000, Fault::KillDaemon(seed as usize, 800)),
+            (11_000, STORE_HEALTHY),
+        ];
+        let scenario = Scenario { faults, leave_after_ms: Some(250), ..Scenario::default() };
+        let mut sim = Simulation::new(seed, scenario);
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+    }
+}
+
 /// The holder is killed while calls with lost replies still take effect.
 ///
 /// They do so up to 5 s later.
--- a/crates/cassiahoist_standins/tests/systems/calls.rs
+++ b/crates/cassiahoist_standins/tests/systems/calls.rs
@@ -82,7 +82,7 @@
 }
 
 /// Returns the answer to a call in the last tick.
-fn answer_to(holder: &TestDaemon, wanted: u64) -> Option<CallAnswer> {
+pub fn answer_to(holder: &TestDaemon, wanted: u64) -> Option<CallAnswer> {
     holder.effects.iter().find_map(|effect| match effect {
         Effect::AnswerCall { call, answer } if *call == wanted => Some(*answer),
         _ => None,
@@ -176,7 +176,7 @@
 }
 
 /// Requests the cancellation of a job in the queue of short jobs.
-fn request_cancellation(daemon: &mut TestDaemon, call: u64, job: JobId) {
+pub fn request_cancellation(daemon: &mut TestDaemon, call: u64, job: JobId) {
     let deadline_ms = daemon.now_ms + 1_000;
     daemon.receive_event(Event::CallReceived(CallRequest {
         number: call,
--- a/crates/cassiahoist_traffic/src/store_client.rs
+++ b/crates/cassiahoist_traffic/src/store_client.rs
@@ -74,7 +74,8 @@
             | StorePurpose::WriteRoster
             | StorePurpose::RecordProgress(_)
             | StorePurpose::StoreDeclarations(_)
-            | StorePurpose::RemoveJobs => &self.http,
+            | StorePurpose::RemoveJobs
+            | StorePurpose::RemoveCancellations => &self.http,
         }
     }
 
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -142,8 +142,10 @@
     ReadingJob,
     /// The job record is being read, since only an existing job can be cancelled.
     CheckingJobExists,
-    /// The cancellation is being stored.
+    /// The cancellation of a stored job is being stored.
     Cancelling,
+    /// The cancellation of a job that is not stored is being stored, so that no open attempt can store the job later.
+    CancellingUnstored,
 }
 
 /// A call without an answer yet.
@@ -194,7 +196,7 @@
     pub fn is_storing(&self) -> bool {
         let is_waiting = self.retry_at_ms.is_none();
         match self.stage {
-            CallStage::Storing { .. } | CallStage::Cancelling => is_waiting,
+            CallStage::Storing { .. } | CallStage::Cancelling | CallStage::CancellingUnstored => is_waiting,
             CallStage::CheckingJobExists => is_waiting && self.relay_deadline_ms.is_some(),
             CallStage::QueryingHolder { .. } | CallStage::ReadingProgress | CallStage::ReadingJob => false,
         }
--- a/crates/cassiahoist_world/src/jobs.rs
+++ b/crates/cassiahoist_world/src/jobs.rs
@@ -214,6 +214,8 @@
     pub unrecorded_jobs: FxHashSet<JobKey>,
     /// Jobs whose cancellation arrived before the job itself, with the time in monotonic milliseconds.
     pub early_cancellations: FxHashMap<JobId, u64>,
+    /// Cancellations in the store whose jobs are not in the tables, with the time of reading in monotonic milliseconds.
+    pub unstored_cancellations: FxHashMap<JobId, u64>,
 }
 
 /// Gives read access to the rows; changes go through the methods of the table.
--- a/crates/cassiahoist_world/src/store.rs
+++ b/crates/cassiahoist_world/src/store.rs
@@ -241,6 +241,8 @@
     StoreDeclarations(u64),
     /// Removes the records of jobs whose state need no longer be known.
     RemoveJobs,
+    /// Removes cancellations of jobs that were never stored.
+    RemoveCancellations,
 }
 
 /// A call to the store.
--- a/crates/cassiahoist_world/src/store_writes.rs
+++ b/crates/cassiahoist_world/src/store_writes.rs
@@ -1,5 +1,6 @@
 //! Writes of the holder to the store: progress in groups, removals and the roster.
 
+use cassiahoist_core::prelude::*;
 use rustc_hash::FxHashSet;
 
 use crate::keys::{HostKey, JobKey};
@@ -57,6 +58,10 @@
     pub jobs_in_removal: Vec<JobKey>,
     /// When to search for expired jobs next, in monotonic milliseconds.
     pub next_job_removal_at_ms: u64,
+    /// Jobs whose cancellations are being removed from the store. Empty if no such removal is in flight.
+    pub cancellations_in_removal: Vec<JobId>,
+    /// When to search for cancellations of jobs that were not stored next, in monotonic milliseconds.
+    pub next_cancellation_removal_at_ms: u64,
     /// Whether a write of the roster is in flight.
     pub roster_in_flight: bool,
     /// Whether the stored roster lists hosts that no longer run anything.
