--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -117,6 +117,7 @@
     407 HostMissing Info Host "The entry of a host has disappeared from the store.";
     408 HostReturned Info Host "The entry of a missing host is in the store again.";
     409 HostsListed Info Daemon "The host entries in the store were listed.";
+    410 HostEndsUnread Warning Host "A host has more ended runs than one answer holds; it keeps the others back.";
     500 CallRefused Info Work "A call was answered with an error.";
     600 JobAccepted Info Work "A job was stored.";
     601 JobEnded Info Work "A job reached a final state.";
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -38,9 +38,7 @@
             host.last_restart = Some(Restart { noticed_at_ms: now_ms, earlier_clock_offset_ms: None });
         }
     }
-    if let Some(host) = world.hosts.get_mut(key) {
-        host.lists_ends = !lists.ended.is_empty();
-    }
+    note_unread_ends(world, key, lists);
     for report in &lists.ended {
         apply_end_report(world, key, report, now_ms);
     }
@@ -59,6 +57,10 @@
         host.orphans = orphans;
     }
     adjust_filler_pace(world, key, worst_tail_percent, now_ms);
+    if lists.may_have_more_ends {
+        // A run in neither list may be among the further ends, and so may runs of earlier holders.
+        return;
+    }
     end_unlisted_runs(world, key, &listed, sent_ms, now_ms);
     let Some(host) = world.hosts.get_mut(key) else { return };
     if host.adoption == Adoption::Unknown {
@@ -69,6 +71,19 @@
     }
 }
 
+/// Notes whether the host has ends, and whether it may have more than it listed.
+fn note_unread_ends(world: &mut World, key: HostKey, lists: &HostLists) {
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    host.lists_ends = !lists.ended.is_empty();
+    let had_unread_ends = std::mem::replace(&mut host.has_unread_ends, lists.may_have_more_ends);
+    if host.has_unread_ends && !had_unread_ends {
+        let log_record = LogRecord::new(EventId::HostEndsUnread).with("host", &host.entry.name);
+        let log_record = log_record.with("listed", lists.ended.len());
+        let log_record = log_record.with("last_end_recorded", host.last_end_recorded);
+        world.log(log_record.with("running", lists.running.len()));
+    }
+}
+
 /// Counts a listed run without a row.
 ///
 /// It occupies its resources until the host no longer lists it.
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -180,6 +180,7 @@
     let kept_runs = host.runs.len() - runs.len();
     host.in_roster = false;
     host.adoption = Adoption::Unknown;
+    host.has_unread_ends = false;
     world.store_writes.roster_stale = true;
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
@@ -215,6 +216,7 @@
     host.last_end_applied = 0;
     host.last_end_recorded = 0;
     host.lists_ends = false;
+    host.has_unread_ends = false;
     let earlier_clock_offset_ms = host.clock_known.then_some(host.clock_offset_ms);
     host.last_restart = Some(Restart { noticed_at_ms: now_ms, earlier_clock_offset_ms });
     host.unrecorded_ends = UnrecordedEnds::default();
@@ -287,6 +289,9 @@
     if may_start_inherited_jobs(world, now_ms) {
         return InheritedStarts::All;
     }
+    if may_ends_be_hidden(world, now_ms) {
+        return InheritedStarts::No;
+    }
     let is_known =
         |host: &Host| host.adoption == Adoption::Adopted || !host.in_roster || host.silent_jobs.is_some();
     let runs_known = world.holding.is_holding()
@@ -295,14 +300,20 @@
     if runs_known { InheritedStarts::ExceptOnSilentHosts } else { InheritedStarts::No }
 }
 
+/// Returns whether a host keeps ends back that no holder has read. Any inherited task may be done among them.
+fn may_ends_be_hidden(world: &World, now_ms: u64) -> bool {
+    world.hosts.iter_engaged().any(|(_, host)| host.may_hide_ends(now_ms))
+}
+
 /// Returns whether tasks of inherited jobs, those accepted before this daemon's claim, may start.
 ///
 /// They may once no run of them can be unknown. That is when every polled host of the roster was adopted, or when the
 /// run leases that an earlier holder extended have expired: see [`inherited_leases_end_at_ms`]. A successor may have adopted
-/// the hosts that are silent here and extend their leases, so the store has to confirm the claim after that.
+/// the hosts that are silent here and extend their leases, so the store has to confirm the claim after that. Hosts that keep
+/// ends back have to list them first.
 #[must_use]
 pub fn may_start_inherited_jobs(world: &World, now_ms: u64) -> bool {
-    if !world.holding.is_holding() {
+    if !world.holding.is_holding() || may_ends_be_hidden(world, now_ms) {
         return false;
     }
     let roster_adopted = || {
--- a/crates/cassiahoist_runs/src/poll.rs
+++ b/crates/cassiahoist_runs/src/poll.rs
@@ -121,7 +121,7 @@
             && host.clock_known
             && (unresponsive_ms < renewal_cutoff_ms || renews_silent_hosts);
         let lease_until_ms = renews_lease.then(|| host.clock_ms(now_ms) + lease_ms);
-        if renews_lease && !host.runs.is_empty() {
+        if renews_lease && (!host.runs.is_empty() || host.has_unread_ends) {
             let lease_end_ms = now_ms + world.local.bounds.max_run_lease_ms();
             host.lease_end_ms = host.lease_end_ms.max(lease_end_ms);
         }
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -81,14 +81,16 @@
 
 /// Returns whether a run should be progressing.
 ///
-/// Missing reports of its host, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
+/// Missing reports of its host, ends that its host keeps back, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
 /// progress, so none of them counts as a stall.
 fn expects_progress(world: &World, run: &Run, now_ms: u64) -> bool {
     let Some((_, step, spec)) = world.jobs.task_context(run.task) else { return false };
     // Answers to other orders report no progress, however often a slow holder sends them between two polls.
     let is_reported = run.listed_by_host
         && world.hosts.get(run.host).is_some_and(|host| {
-            host.unresponsive_since_ms.is_none() && now_ms < host.lists_received_at_ms + MAX_LISTS_AGE_MS
+            host.unresponsive_since_ms.is_none()
+                && !host.has_unread_ends
+                && now_ms < host.lists_received_at_ms + MAX_LISTS_AGE_MS
         });
     let gang_starting = spec.gang && run.progress_percent == 0;
     let serving = spec.runs_until_cancelled && run.progress_percent >= 100;
--- a/crates/cassiahoist_standins/tests/systems/long_series.rs
+++ b/crates/cassiahoist_standins/tests/systems/long_series.rs
@@ -237,6 +237,7 @@
     holder.report_lists(
         0,
         HostLists {
+            may_have_more_ends: false,
             started_unix_ms: None,
             running: vec![running(&name(500_000), 1_003)],
             ended: vec![end(1, &name(500_001), 1_001, RunEnding::Done)],
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -26,5 +26,6 @@
 mod start_relays;
 mod store_watch;
 mod support;
+mod unread_ends;
 mod unsent_orders;
 mod weak_holder;
--- a/crates/cassiahoist_standins/tests/systems/placement.rs
+++ b/crates/cassiahoist_standins/tests/systems/placement.rs
@@ -107,6 +107,7 @@
         0,
         HostLists {
             started_unix_ms: None,
+            may_have_more_ends: false,
             running: vec![running(&task_name(1, 0, 0), 1), running(&task_name(1, 0, 2), 1)],
             ended: vec![end(1, &task_name(1, 0, 1), 1, RunEnding::Failed)],
         },
--- a/crates/cassiahoist_standins/tests/systems/recording.rs
+++ b/crates/cassiahoist_standins/tests/systems/recording.rs
@@ -245,7 +245,7 @@
     let started_unix_ms = Some(entry.started_unix_ms);
     holder.receive_changes(KeySpace::Hosts, vec![entry_change(entry)], 70);
     let ended = vec![end(1, &task_name(1, 0, 1), 2, RunEnding::Done)];
-    holder.report_lists(0, HostLists { started_unix_ms, running: Vec::new(), ended });
+    holder.report_lists(0, HostLists { started_unix_ms, ended, ..HostLists::default() });
     let host = holder.host(0);
     assert_eq!(holder.app.world().hosts.get(host).unwrap().last_end_applied, 1);
     holder.answer_store(commits[0].clone(), Ok(StoreReply::Committed { revision: 60 }));
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -349,10 +349,10 @@
 
 /// Creates a reply that lists present runs only.
 pub fn running_lists(running: Vec<RunReport>) -> HostLists {
-    HostLists { started_unix_ms: None, running, ended: Vec::new() }
+    HostLists { running, ..HostLists::default() }
 }
 
 /// Creates a reply that lists ended runs only.
 pub fn ended_lists(ended: Vec<EndReport>) -> HostLists {
-    HostLists { started_unix_ms: None, running: Vec::new(), ended }
+    HostLists { ended, ..HostLists::default() }
 }
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -212,6 +212,8 @@
     pub last_end_recorded: u64,
     /// Whether the latest lists of the host contained ends.
     pub lists_ends: bool,
+    /// Whether the host may have ends that the latest lists had no room for.
+    pub has_unread_ends: bool,
     /// Ends between these two.
     pub unrecorded_ends: UnrecordedEnds,
     /// The host's own clock at the latest lists that were applied, in milliseconds; 0 before the first.
@@ -271,6 +273,7 @@
             last_end_applied: 0,
             last_end_recorded: 0,
             lists_ends: false,
+            has_unread_ends: false,
             unrecorded_ends: UnrecordedEnds::default(),
             lists_clock_ms: 0,
             lists_received_at_ms: 0,
@@ -352,6 +355,16 @@
             && now_ms >= self.standing.quarantined_until_ms
     }
 
+    /// Returns whether runs of earlier holders may have ended without a report that this holder has read.
+    ///
+    /// Those of a silent host no longer count once its run lease has ended.
+    #[must_use]
+    pub fn may_hide_ends(&self, now_ms: u64) -> bool {
+        self.adoption == Adoption::Unknown
+            && self.has_unread_ends
+            && (self.unresponsive_since_ms.is_none() || now_ms < self.lease_end_ms)
+    }
+
     /// Returns the greatest end number that the host may drop now; 0 for none.
     ///
     /// Another incarnation would drop ends of its own by it. So it is 0 unless there is something to drop, and unless the host
--- a/crates/cassiahoist_world/src/orders.rs
+++ b/crates/cassiahoist_world/src/orders.rs
@@ -165,10 +165,12 @@
     pub started_unix_ms: Option<u64>,
     /// Runs in progress.
     ///
-    /// The holder counts a confirmed run that is in neither list as lapsed.
+    /// The holder counts a confirmed run that is in neither list as lapsed, unless the host may have further ends.
     pub running: Vec<RunReport>,
-    /// Ends that the host was not yet allowed to drop.
+    /// Ends that the host was not yet allowed to drop, the earliest ones first.
     pub ended: Vec<EndReport>,
+    /// Whether the host may have further ends, for which this answer had no room.
+    pub may_have_more_ends: bool,
 }
 
 /// Why a host refused an order.
