--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -14,7 +14,7 @@
 use crate::lease_expiry::reset_restarted_host;
 use crate::lifecycle::reattach_run;
 use crate::occurrences::find_reported_task;
-use crate::outcome::{end_run, finish_task, record_failed_run};
+use crate::outcome::{AfterDone, decide_after_done, end_run, finish_task, record_failed_run};
 use crate::pace::adjust_filler_pace;
 
 /// Timeout of an order to stop a run without a row, in milliseconds.
@@ -128,10 +128,13 @@
     // No row stands for the run: an earlier holder started it, or its lease was considered expired.
     let Some(task) = find_reported_task(world, &report.task, now_ms) else { return };
     match report.ending {
-        RunEnding::Done => finish_task(world, task, now_ms),
+        RunEnding::Done if decide_after_done(world, task) == AfterDone::Finish => {
+            finish_task(world, task, now_ms);
+        }
         // The failure counts even if a later run of the task was adopted first.
         RunEnding::Failed => record_failed_run(world, task, key, report.run_number, now_ms),
-        RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken | RunEnding::Alone => {
+        // The task waits for a start already, or has another run.
+        RunEnding::Done | RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken | RunEnding::Alone => {
             if let Some(task) = world.jobs.tasks.get_mut(task) {
                 task.last_run_number = task.last_run_number.max(report.run_number);
                 if !report.checkpoint.is_empty() && task.checkpoint.is_empty() {
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -138,7 +138,7 @@
 /// Makes a task pending again, to be placed no earlier than `not_before_ms`.
 ///
 /// Does nothing if the task is done.
-pub(crate) fn requeue_task(world: &mut World, task_key: TaskKey, not_before_ms: u64) {
+fn requeue_task(world: &mut World, task_key: TaskKey, not_before_ms: u64) {
     let Some(task) = world.jobs.tasks.get_mut(task_key) else { return };
     if task.state == TaskState::Done {
         return;
--- a/crates/cassiahoist_runs/src/outcome.rs
+++ b/crates/cassiahoist_runs/src/outcome.rs
@@ -13,7 +13,7 @@
 
 use crate::crashes::clear_task;
 use crate::health::{record_failure, record_success};
-use crate::lifecycle::{drop_run, requeue_placed_task, requeue_task, stop_job_runs, stop_run};
+use crate::lifecycle::{drop_run, requeue_placed_task, stop_job_runs, stop_run};
 use crate::occurrences::close_done_occurrence;
 
 /// Delay before a failed task runs again, in milliseconds. The host's quarantine is decided first.
@@ -38,7 +38,10 @@
             record_success(world, run.host, now_ms);
             record_run_time(world, run.task, now_ms - run.start_sent_at_ms);
             clear_task(world, run.task, run.run_number, "it is done");
-            finish_task(world, run.task, now_ms);
+            match decide_after_done(world, run.task) {
+                AfterDone::Finish => finish_task(world, run.task, now_ms),
+                AfterDone::Restart => requeue_placed_task(world, key, run.task, now_ms),
+            }
         }
         RunEnding::Failed => {
             world.counters.runs_failed += 1;
@@ -61,13 +64,26 @@
     world.runs.record_run_time(&queue, took_ms);
 }
 
+/// What becomes of a task of which a run has ended done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AfterDone {
+    /// It is done.
+    Finish,
+    /// It runs until cancelled, and needs another run unless it has one.
+    Restart,
+}
+
+/// Decides what becomes of a task of which a run has ended done.
+pub(crate) fn decide_after_done(world: &World, task: TaskKey) -> AfterDone {
+    match world.jobs.task_context(task) {
+        Some((_, _, spec)) if spec.runs_until_cancelled => AfterDone::Restart,
+        Some(_) | None => AfterDone::Finish,
+    }
+}
+
 /// Marks a task as done, and with it every member of its gang.
 pub(crate) fn finish_task(world: &mut World, task_key: TaskKey, now_ms: u64) {
     let Some((task, step, spec)) = world.jobs.task_context(task_key) else { return };
-    if spec.runs_until_cancelled {
-        // A task that runs until cancelled is restarted after any end of a run.
-        return requeue_task(world, task_key, now_ms);
-    }
     let (step_key, job_key) = (task.step, step.job);
     let members = if spec.gang { step.tasks.clone() } else { vec![task_key] };
     for member in members {
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -10,6 +10,7 @@
 mod engagement;
 mod handled_starts;
 mod host_restarts;
+mod lasting_tasks;
 mod late_ticks;
 mod link_budget;
 mod load;
