--- a/crates/cassiahoist_hosts/src/roster.rs
+++ b/crates/cassiahoist_hosts/src/roster.rs
@@ -64,6 +64,7 @@
     world.store_writes.roster_stale = false;
     list_silent_hosts(world);
     assign_generations(world);
+    let lease_ms = world.local.bounds.max_run_lease_ms();
     let hosts: Vec<RosterHost> = world
         .hosts
         .iter_engaged()
@@ -74,6 +75,7 @@
             started_unix_ms: host.entry.started_unix_ms,
             silent_jobs: host.silent_jobs.clone(),
             joined_generation: host.joined_generation,
+            may_hold_longest_lease: host.may_hold_longer_lease(lease_ms, now_ms),
         })
         .collect();
     log_write(world, &hosts);
--- a/crates/cassiahoist_membership/src/adoption.rs
+++ b/crates/cassiahoist_membership/src/adoption.rs
@@ -4,6 +4,7 @@
 //! holder may have started runs.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::earlier_clock::EarlierClockOrders;
 use cassiahoist_world::holding::{HoldingEvent, ListedHost, PERMISSION_MS};
 use cassiahoist_world::hosts::{Host, HostEntry};
 use cassiahoist_world::prelude::*;
@@ -134,8 +135,12 @@
             world.hosts.engage(key);
         }
         match known_key.and_then(|key| world.hosts.get_mut(key)) {
-            // A later incarnation of the host runs nothing of the earlier one.
-            Some(host) if host.entry.started_unix_ms > entry.started_unix_ms => {}
+            Some(host) if host.entry.started_unix_ms > entry.started_unix_ms => {
+                // Orders to the earlier incarnation may have taken effect at the later one.
+                set_roster_state(host, entry);
+                host.earlier_clock_orders = EarlierClockOrders::FromBeforeRestart(Fence(0));
+                world.store_writes.roster_stale = true;
+            }
             Some(host) => {
                 // The earlier holder may have learned of a restart before the store.
                 host.entry.started_unix_ms = entry.started_unix_ms;
@@ -156,6 +161,10 @@
     host.in_roster = true;
     host.joined_generation = entry.joined_generation;
     host.silent_jobs.clone_from(&entry.silent_jobs);
+    if entry.may_hold_longest_lease {
+        // The orders of earlier holders have smaller tokens than those of this one.
+        host.earlier_clock_orders = EarlierClockOrders::FromBeforeRestart(Fence(0));
+    }
 }
 
 /// Collects the jobs that may have runs on hosts that the earlier holder listed as silent.
@@ -185,10 +194,13 @@
     }
     world.holding.apply_event(HoldingEvent::Adopted);
     world.holding.polling_since_ms = now_ms;
-    let lease_end_ms = now_ms + PERMISSION_MS + world.local.bounds.max_run_lease_ms();
+    let (lease_ms, longest_lease_ms) =
+        (world.local.bounds.max_run_lease_ms(), world.local.longest_run_lease_ms());
     for key in world.hosts.engaged_keys() {
         if let Some(host) = world.hosts.get_mut(key).filter(|host| host.in_roster) {
-            host.lease_end_ms = lease_end_ms;
+            let is_longest = host.earlier_clock_orders.are_from_before_restart();
+            let inherited_lease_ms = if is_longest { longest_lease_ms } else { lease_ms };
+            host.lease_end_ms = now_ms + PERMISSION_MS + inherited_lease_ms;
         }
     }
     let took_ms = now_ms - world.holding.claim_won_at_ms().unwrap_or(now_ms);
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -3,6 +3,7 @@
 //! A host ends its runs when its lease expires, so the runs of an unresponsive host have ended by then.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::earlier_clock::EarlierClockOrders;
 use cassiahoist_world::hosts::{Adoption, Host, HostKey, OrphanRuns, Poll, Restart};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::RunKey;
@@ -10,7 +11,7 @@
 
 use crate::crashes::{HostLoss, awaits_fate_of_host, end_lost_runs, record_crash, record_loss};
 use crate::lifecycle::detach_run;
-use crate::permission::inherited_leases_end_at_ms;
+use crate::permission::{inherited_lease_end_of_host_at_ms, inherited_leases_end_at_ms, is_unadopted};
 
 /// How long a host's row is kept after its store entry disappeared, in milliseconds.
 const MISSING_HOST_RETENTION_MS: u64 = 15_000;
@@ -59,8 +60,8 @@
 /// has shown since that there is no successor.
 fn has_lease_ended(world: &mut World, key: HostKey, now_ms: u64) -> bool {
     let Some(host) = world.hosts.get(key) else { return true };
-    let is_inherited = is_unadopted(host);
-    let inherited_end_ms = if is_inherited { inherited_leases_end_at_ms(world) } else { Some(0) };
+    let inherited_end_ms =
+        if is_unadopted(host) { inherited_lease_end_of_host_at_ms(world, host) } else { Some(0) };
     let Some(end_ms) = inherited_end_ms.map(|at_ms| at_ms.max(host.lease_end_ms)) else { return false };
     if now_ms < end_ms {
         world.wake_by(end_ms);
@@ -69,11 +70,6 @@
     confirm_claim_since(world, end_ms, now_ms)
 }
 
-/// Returns whether earlier holders may have runs on a host that has not reported them.
-fn is_unadopted(host: &Host) -> bool {
-    host.in_roster && host.adoption == Adoption::Unknown
-}
-
 /// Returns whether the store has confirmed the claim since a time in monotonic milliseconds, and asks it otherwise.
 fn confirm_claim_since(world: &mut World, since_ms: u64, now_ms: u64) -> bool {
     let is_confirmed = world.holding.claim_confirmed_at_ms >= since_ms;
@@ -207,10 +203,12 @@
 ///
 /// Runs that no poll has listed yet are kept until the next poll, since the new incarnation may have started them.
 pub fn reset_restarted_host(world: &mut World, key: HostKey, cause: &str, now_ms: u64) {
+    let latest_fence = world.order_fence(key).unwrap_or_default();
     world.shut_out_earlier_orders(key);
     record_unnoticed_loss(world, key, now_ms);
     let Some(host) = world.hosts.get_mut(key) else { return };
     host.in_roster = false;
+    host.earlier_clock_orders = EarlierClockOrders::FromBeforeRestart(latest_fence);
     host.fence_confirmed_at_ms = 0;
     host.adoption = Adoption::Unknown;
     host.last_end_applied = 0;
@@ -224,6 +222,7 @@
     host.orphans = OrphanRuns::default();
     host.lists_clock_ms = 0;
     host.lists_received_at_ms = 0;
+    let open_poll_ms = host.poll.sent_ms.map_or("none".into(), |at_ms| (now_ms - at_ms).to_string());
     host.poll = Poll { sent_ms: None, next_ms: now_ms };
     host.open_extra_polls = 0;
     let address = host.entry.address.clone();
@@ -240,7 +239,8 @@
     let kept_runs: Vec<RunKey> = host.runs.iter().filter(|run| !was_listed(run)).copied().collect();
     let log_record =
         LogRecord::new(EventId::HostRunsEnded).with("host", &host.entry.name).with("runs", runs.len());
-    world.log(log_record.with("cause", cause));
+    let log_record = log_record.with("cause", cause).with("kept_runs", kept_runs.len());
+    world.log(log_record.with("open_poll_ms", open_poll_ms));
     world.hosts.record_crash(&address, now_ms);
     for run in kept_runs {
         record_crash(world, run, HostLoss::Restarted, now_ms);
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -2,6 +2,7 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_membership::{StepDownCause, step_down};
+use cassiahoist_world::earlier_clock::EarlierClockOrders;
 use cassiahoist_world::holding::ClaimRelease;
 use cassiahoist_world::hosts::HostKey;
 use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome, RefusalReason};
@@ -98,6 +99,9 @@
         OrderSender::Holder => update_reachability(world, &completion, now_ms),
         OrderSender::Relay => record_relayed_answer(world, &completion),
     }
+    if matches!(completion.outcome, OrderOutcome::Done { .. }) {
+        note_executed_order(world, completion.order.host, completion.order.fence, now_ms);
+    }
     // A host also refuses an order from before an earlier claim of this daemon, or from before its own restart.
     let present_fence = world.order_fence(completion.order.host);
     let order_outdated = present_fence.is_some_and(|fence| completion.order.fence < fence);
@@ -270,6 +274,22 @@
     }
 }
 
+/// Notes that a host has executed an order under a fencing token.
+///
+/// Orders on the clock of an earlier incarnation may have extended its run lease before that, and can't do so any more.
+fn note_executed_order(world: &mut World, key: HostKey, fence: Fence, now_ms: u64) {
+    let longest_lease_ms = world.local.longest_run_lease_ms();
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    let earlier_orders = host.earlier_clock_orders;
+    let are_shut_out = earlier_orders.are_shut_out_by(fence);
+    if are_shut_out {
+        host.earlier_clock_orders = EarlierClockOrders::ShutOut;
+    }
+    if are_shut_out || earlier_orders.are_from_before_restart() {
+        host.lease_end_ms = host.lease_end_ms.max(now_ms + longest_lease_ms);
+    }
+}
+
 /// Records that an unresponsive host refuses connections. Its process has probably ended, and its new runs are suspects.
 fn note_refused_connection(world: &mut World, completion: &OrderCompletion, now_ms: u64) {
     let key = completion.order.host;
--- a/crates/cassiahoist_runs/src/unsent_starts.rs
+++ b/crates/cassiahoist_runs/src/unsent_starts.rs
@@ -3,6 +3,7 @@
 //! Without one member a whole gang would have to be stopped and placed anew, so its order is issued again.
 
 use cassiahoist_core::prelude::*;
+use cassiahoist_world::hosts::Host;
 use cassiahoist_world::orders::{HostOrder, Order};
 use cassiahoist_world::prelude::*;
 use cassiahoist_world::runs::{Run, RunState};
@@ -105,8 +106,15 @@
         let task = run.task;
         return break_gang(world, task, run_number, now_ms);
     }
-    run.order_in_flight = true;
-    let bounds = world.local.bounds;
+    let (task_key, bounds) = (run.task, world.local.bounds);
+    // A restarted host gets no start before its clock is known and the roster lists it again.
+    let is_ready = |host: &Host| host.clock_known && host.in_roster;
+    if !world.hosts.get(order.host).is_some_and(is_ready) {
+        return break_gang(world, task_key, run_number, now_ms);
+    }
+    if let Some(run) = world.runs.rows.get_mut(key) {
+        run.order_in_flight = true;
+    }
     let Some(host) = world.hosts.get_mut(order.host) else { return };
     host.lease_end_ms = host.lease_end_ms.max(now_ms + bounds.max_run_lease_ms());
     let lease_until_ms = host.clock_ms(now_ms) + bounds.run_lease_ms;
--- a/crates/cassiahoist_standins/tests/scenarios.rs
+++ b/crates/cassiahoist_standins/tests/scenarios.rs
@@ -375,6 +375,34 @@
     }
 }
 
+/// Hosts restart under their names and are cut off soon after, while long tasks run.
+///
+/// A poll for the earlier incarnation gave the later one the longest lease, and the tasks ran elsewhere before it ended.
+#[test]
+fn hosts_that_are_cut_off_after_a_restart_keep_their_runs_until_the_lease_expires() {
+    for seed in [1, 2, 3, 4, 5, 6, 7, 8, 9, 106] {
+        let gap_ms = 700 + (seed % 8) * 200;
+        let restarts = [6_000, 14_000].into_iter().flat_map(|at_ms| {
+            (0..4).flat_map(move |host| {
+                [
+                    (at_ms, Fault::CrashHost(host, 600)),
+                    (at_ms + gap_ms, Fault::MakeHostUnreachable(host, 7_500)),
+                ]
+            })
+        });
+        let scenario = Scenario {
+            faults: restarts.collect(),
+            long_share: 0.35,
+            mean_job_interval_ms: 600,
+            settle_ms: 150_000,
+            ..Scenario::default()
+        };
+        let mut sim = Simulation::new(seed, scenario);
+        let violations = sim.run();
+        assert!(violations.is_empty(), "seed {seed}: {}", violations[0]);
+    }
+}
+
 #[test]
 fn seeded_scenarios_violate_no_invariant() {
     for seed in 1..=24 {
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod decision_lines;
 mod declarations;
+mod earlier_clock;
 mod early_cancellations;
 mod engagement;
 mod handled_starts;
--- a/crates/cassiahoist_standins/tests/systems/support.rs
+++ b/crates/cassiahoist_standins/tests/systems/support.rs
@@ -7,6 +7,7 @@
 use cassiahoist_jobs::insert_job;
 use cassiahoist_world::app::App;
 use cassiahoist_world::config::{AdviceCost, QueuePolicy};
+use cassiahoist_world::earlier_clock::EarlierClockOrders;
 use cassiahoist_world::effect::{Effect, LogRecord};
 use cassiahoist_world::event::Event;
 use cassiahoist_world::holding::HoldingEvent;
@@ -97,6 +98,7 @@
             host.adoption = Adoption::Adopted;
             host.in_roster = true;
             host.clock_known = true;
+            host.earlier_clock_orders = EarlierClockOrders::ShutOut;
             let key = world.hosts.insert(host);
             world.hosts.engage(key);
         }
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -9,6 +9,7 @@
 use cassiahoist_declarations::HostRules;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::earlier_clock::EarlierClockOrders;
 pub use crate::keys::HostKey;
 use crate::keys::{JobKey, RunKey, TaskKey};
 use crate::rows::{IndexedRows, Row};
@@ -170,6 +171,8 @@
     /// It is the revision of a write under the claim: later than the claim, and earlier than any other one. Orders under a
     /// smaller token can no longer take effect once one under this token has.
     pub min_fence: Fence,
+    /// Whether the host may take orders that name a time on the clock of an earlier incarnation.
+    pub earlier_clock_orders: EarlierClockOrders,
     /// Since when the host has had no store entry, in monotonic milliseconds. `None` if it has one.
     pub missing_since_ms: Option<u64>,
     /// Since when the host has been draining, in monotonic milliseconds. `None` if it is not.
@@ -256,6 +259,7 @@
             start_unknown: false,
             last_restart: None,
             min_fence: Fence(0),
+            earlier_clock_orders: EarlierClockOrders::default(),
             missing_since_ms: None,
             draining_since_ms: None,
             adoption: Adoption::Unknown,
@@ -303,6 +307,15 @@
         started_unix_ms != self.entry.started_unix_ms
     }
 
+    /// Returns whether the host, after a restart, may hold its runs for longer than this holder's own leases.
+    ///
+    /// `lease_ms` is the greatest length of such a lease, in milliseconds.
+    #[must_use]
+    pub fn may_hold_longer_lease(&self, lease_ms: u64, now_ms: u64) -> bool {
+        self.earlier_clock_orders.are_from_before_restart()
+            || (self.last_restart.is_some() && self.lease_end_ms > now_ms + lease_ms)
+    }
+
     /// Ends the listing of the host as silent, since it answers. The roster has to be written before its next start.
     ///
     /// Returns whether it was listed so.
--- a/crates/cassiahoist_world/src/lib.rs
+++ b/crates/cassiahoist_world/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod counters;
 pub mod crashes;
 pub mod declarations;
+pub mod earlier_clock;
 pub mod effect;
 pub mod event;
 pub mod holding;
--- a/crates/cassiahoist_world/src/record.rs
+++ b/crates/cassiahoist_world/src/record.rs
@@ -235,6 +235,14 @@
     /// These predecessors don't know the host, so it says nothing about their permission to give orders.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub joined_generation: u32,
+    /// Whether the host may hold its runs for the longest lease that the platform allows, after a restart.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub may_hold_longest_lease: bool,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
