--- a/crates/cassiahoist_hosts/src/entries.rs
+++ b/crates/cassiahoist_hosts/src/entries.rs
@@ -8,10 +8,14 @@
 use cassiahoist_world::store::{KeySpace, StoreChange, StoreItem, StoreKey, StoreValue};
 use rustc_hash::FxHashSet;
 
+/// Maximum number of deferred entries. Further ones are dropped; their hosts write them again.
+const MAX_DEFERRED_ENTRIES: usize = 4_096;
+
 /// Applies listings and changes of host entries.
 ///
 /// Hosts that are absent from a full listing count as removed from the store.
 pub fn apply_host_entries(world: &mut World, now_ms: u64) {
+    apply_deferred_entries(world, now_ms);
     for update in world.inbox.take_range_updates(KeySpace::Hosts) {
         match update {
             RangeUpdate::Listing(items) => apply_full_listing(world, items, now_ms),
@@ -28,6 +32,7 @@
 }
 
 fn apply_full_listing(world: &mut World, items: Vec<StoreItem>, now_ms: u64) {
+    world.hosts.deferred_entries.clear();
     let mut listed_names = FxHashSet::default();
     let known_hosts = world.hosts.len();
     for item in items {
@@ -51,9 +56,9 @@
 }
 
 fn apply_removal(world: &mut World, store_key: &StoreKey, now_ms: u64) {
-    if let StoreKey::Host(name) = store_key
-        && let Some(key) = world.hosts.find(name)
-    {
+    let StoreKey::Host(name) = store_key else { return };
+    world.hosts.deferred_entries.remove(name);
+    if let Some(key) = world.hosts.find(name) {
         mark_missing(world, key, "removed", now_ms);
     }
 }
@@ -79,15 +84,68 @@
 
 fn apply_entry(world: &mut World, item: StoreItem, now_ms: u64) {
     match item.value {
-        StoreValue::Host(entry) => match entry.validate(world.local.unix_ms) {
-            Ok(()) => apply_host_entry(world, *entry, now_ms),
-            Err(reason) => skip_entry(world, &item.key, &reason),
+        StoreValue::Host(entry) => match decide_entry(world, &entry) {
+            EntryDecision::Apply => {
+                world.hosts.deferred_entries.remove(&entry.name);
+                apply_host_entry(world, *entry, now_ms);
+            }
+            EntryDecision::Defer => defer_entry(world, &item.key, *entry),
+            EntryDecision::Skip(reason) => skip_entry(world, &item.key, &reason),
         },
         StoreValue::Unreadable { reason } => skip_entry(world, &item.key, &reason),
         _ => {}
     }
 }
 
+/// What to do with an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum EntryDecision {
+    /// Apply it.
+    Apply,
+    /// Apply it once a configuration has its pool. An earlier one of the same host holds until then.
+    Defer,
+    /// Ignore it for this reason.
+    Skip(String),
+}
+
+/// Decides on an entry, which another writer than its host may have made.
+///
+/// A host keeps its pool even if the configuration no longer has it.
+fn decide_entry(world: &World, entry: &HostEntry) -> EntryDecision {
+    if let Err(reason) = entry.validate(world.local.unix_ms) {
+        return EntryDecision::Skip(reason);
+    }
+    let known_host = world.hosts.find(&entry.name).and_then(|key| world.hosts.get(key));
+    let is_pool_known = known_host.is_some_and(|host| host.entry.pool == entry.pool)
+        || world.config.current.as_ref().is_none_or(|config| config.has_pool(&entry.pool));
+    if is_pool_known { EntryDecision::Apply } else { EntryDecision::Defer }
+}
+
+fn defer_entry(world: &mut World, key: &StoreKey, entry: HostEntry) {
+    skip_entry(world, key, &format!("no pool {} is configured", entry.pool));
+    let deferred = &mut world.hosts.deferred_entries;
+    if deferred.len() < MAX_DEFERRED_ENTRIES || deferred.contains_key(&entry.name) {
+        deferred.insert(entry.name.clone(), entry);
+    }
+}
+
+/// Applies deferred entries whose pools a new configuration has.
+fn apply_deferred_entries(world: &mut World, now_ms: u64) {
+    let version = world.config.current.as_ref().map_or(0, |config| config.version);
+    if std::mem::replace(&mut world.hosts.deferred_by_version, version) == version {
+        return;
+    }
+    for (name, entry) in std::mem::take(&mut world.hosts.deferred_entries) {
+        match decide_entry(world, &entry) {
+            EntryDecision::Apply => apply_host_entry(world, entry, now_ms),
+            EntryDecision::Defer => {
+                world.hosts.deferred_entries.insert(name, entry);
+            }
+            EntryDecision::Skip(_) => {}
+        }
+    }
+}
+
 /// Skips an entry that another writer made. An earlier one of the same host holds.
 fn skip_entry(world: &mut World, key: &StoreKey, reason: &str) {
     let log_record = LogRecord::new(EventId::StoreItemSkipped).with("key", format!("{key:?}"));
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -28,6 +28,7 @@
 mod start_relays;
 mod store_watch;
 mod support;
+mod unconfigured_pools;
 mod unread_ends;
 mod unsent_orders;
 mod weak_holder;
--- a/crates/cassiahoist_world/src/config.rs
+++ b/crates/cassiahoist_world/src/config.rs
@@ -55,6 +55,8 @@
     pub version: u64,
     /// All queues. A request may match several, see [`ConfigRecord::route`].
     pub queues: Vec<Queue>,
+    /// All pools of hosts, those without a queue included.
+    pub pools: Vec<PoolName>,
     /// Maximum body size of a call, in bytes.
     pub max_body_bytes: usize,
 }
@@ -72,6 +74,12 @@
             .max_by_key(|(queue, _)| queue.path_prefix.len())
     }
 
+    /// Returns whether a pool is configured, by itself or as that of a queue.
+    #[must_use]
+    pub fn has_pool(&self, pool: &PoolName) -> bool {
+        self.pools.contains(pool) || self.queues.iter().any(|queue| queue.policy.pool == *pool)
+    }
+
     /// Finds a queue by name.
     #[must_use]
     pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -438,6 +438,10 @@
     crashed_at_ms: FxHashMap<String, u64>,
     /// Hosts that became unresponsive lately, the earliest first.
     losses: VecDeque<Loss>,
+    /// Latest entries that name a pool which no configuration has. They are applied once one does.
+    pub deferred_entries: FxHashMap<HostName, HostEntry>,
+    /// Version of the configuration by which these were last deferred.
+    pub deferred_by_version: u64,
     /// When to engage further hosts next, in monotonic milliseconds.
     pub next_engage_at_ms: u64,
     /// Position, among the ready steps, of the one whose demand for hosts is looked at next; counts on without end.
@@ -501,6 +505,7 @@
         self.stale_rules.clear();
         self.crashed_at_ms.clear();
         self.losses.clear();
+        self.deferred_entries.clear();
         self.engaged.clear();
     }
 
