--- a/crates/cassiahoist_daemon/src/process.rs
+++ b/crates/cassiahoist_daemon/src/process.rs
@@ -94,11 +94,11 @@
         .map_err(unreachable_error)?;
     let (sender, inputs) = sync_channel(CONTROL_QUEUE_CAPACITY);
     let log = LogWriter::new(min_severity(settings), &incarnation).map_err(unreachable_error)?;
-    let (caller_stop_sender, caller_stop) = watch::channel(false);
     let (dispatcher, table_metrics) = {
         let _guard = runtime.enter();
-        start_traffic(settings, &incarnation, clock, sender, &log, &runtime, caller_stop)?
+        start_traffic(settings, &incarnation, clock, sender, &log, &runtime)?
     };
+    let (control_link, caller_stop) = (dispatcher.control.clone(), dispatcher.caller_stop.clone());
     drop(runtime.spawn(reread_settings_on_hangup(source, settings.clone(), log.clone())));
     log.write(EventId::DaemonStarted, &[("callers", settings.listen.callers.to_string())]);
     let app = build_daemon_app(local_from_settings(settings, incarnation));
@@ -107,7 +107,9 @@
         .spawn(move || run_control(app, &inputs, clock, &dispatcher, &table_metrics))
         .map_err(unreachable_error)?;
     control.join().map_err(|_panic| HoistError::Unreachable("the control thread panicked".into()))?;
-    caller_stop_sender.send_replace(true);
+    caller_stop.send_replace(true);
+    // Calls that the control thread has not answered, or has not read, get an answer all the same.
+    control_link.abandon_calls();
     std::thread::sleep(CONNECTION_DRAIN_TIME);
     log.write(EventId::DaemonStopped, &[]);
     log.close();
@@ -138,7 +140,6 @@
     sender: SyncSender<ControlInput>,
     log: &LogWriter,
     runtime: &Runtime,
-    caller_stop: watch::Receiver<bool>,
 ) -> Result<(Dispatcher<SitePlatform>, TableMetrics), HoistError> {
     let control = ControlLink::new(sender).with_incarnation(incarnation);
     let meter = TrafficMeter::new().with_descriptors_limit(settings.daemon.max_descriptors);
@@ -158,7 +159,8 @@
         log: log.clone(),
     };
     let operator_server = OperatorServer { control: control.clone(), metrics, ready_path: READY_PATH };
-    drop(runtime.spawn(caller_server.serve(bind(runtime, settings.listen.callers)?, caller_stop)));
+    let (caller_stop, caller_stopped) = watch::channel(false);
+    drop(runtime.spawn(caller_server.serve(bind(runtime, settings.listen.callers)?, caller_stopped)));
     drop(runtime.spawn(operator_server.clone().serve(bind(runtime, settings.listen.readiness)?)));
     drop(runtime.spawn(operator_server.serve(bind(runtime, settings.listen.operators)?)));
     let peer_endpoint = PeerEndpoint::new(control.clone()).with_meter(meter.clone());
@@ -182,6 +184,7 @@
         control,
         log: log.clone(),
         meter,
+        caller_stop,
         runtime: runtime.handle().clone(),
     };
     Ok((dispatcher, table_metrics))
--- a/crates/cassiahoist_membership/src/stop.rs
+++ b/crates/cassiahoist_membership/src/stop.rs
@@ -1,7 +1,7 @@
 //! Graceful stop and the release of the claim.
 //!
-//! A stopping daemon releases its claim, serves until the balancer routes calls elsewhere, finishes open calls and
-//! exits.
+//! A stopping daemon releases its claim, serves until the balancer routes calls elsewhere, closes callers' connections,
+//! finishes open calls and exits.
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::holding::ClaimRelease;
@@ -22,6 +22,13 @@
 /// End of the grace period reserved for the exit of the process, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 1_000;
 
+/// Time from the closing of callers' connections until no request that was read can be on its way to the control thread,
+/// in milliseconds.
+const CLOSING_MS: u64 = 150;
+
+/// Interval between looks at the calls that are still open, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 50;
+
 /// How long a release waits until progress is recorded, in milliseconds.
 const FLUSH_TIMEOUT_MS: u64 = 400;
 
@@ -34,7 +41,7 @@
 /// Begins a graceful stop once the process was asked to stop.
 pub fn begin_stop(world: &mut World, now_ms: u64) {
     if std::mem::take(&mut world.inbox.stop_requested) && !world.local.is_stopping() {
-        world.local.stop_state = StopState::Stopping { since_ms: now_ms };
+        world.local.stop_state = StopState::Stopping { since_ms: now_ms, closing_since_ms: None };
         world.log(LogRecord::new(EventId::DaemonStopping).with("holding", world.holding.is_holding()));
     }
 }
@@ -77,7 +84,7 @@
 /// The release waits a bounded time for progress to be recorded.
 pub fn release_claim(world: &mut World, now_ms: u64) {
     let since_ms = match (world.local.stop_state, world.holding.releasing_since_ms) {
-        (StopState::Stopping { since_ms }, _) | (StopState::Serving, Some(since_ms)) => since_ms,
+        (StopState::Stopping { since_ms, .. }, _) | (StopState::Serving, Some(since_ms)) => since_ms,
         (StopState::Serving, None) => return,
     };
     let Some(fence) = world.holding.fence() else { return };
@@ -89,19 +96,50 @@
     step_down(world, StepDownCause::Released, now_ms);
 }
 
-/// Exits the process once the balancer routes calls elsewhere and no call is open.
+/// Next step of a graceful stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopDecision {
+    /// Nothing changes until this time, in monotonic milliseconds.
+    WaitUntil(u64),
+    /// Callers' connections are closed, so that no further requests arrive.
+    CloseConnections,
+    /// The process ends.
+    Exit,
+}
+
+fn decide_stop(world: &World, since_ms: u64, closing_since_ms: Option<u64>, now_ms: u64) -> StopDecision {
+    let serve_until_ms = since_ms + DRAIN_MS.min(world.local.bounds.grace_ms / 2);
+    let exit_at_ms = since_ms + world.local.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS);
+    let is_released = world.holding.fence().is_none();
+    let next_check_ms = exit_at_ms.min(now_ms + CHECK_INTERVAL_MS);
+    match closing_since_ms {
+        _ if now_ms >= exit_at_ms => StopDecision::Exit,
+        None if now_ms < serve_until_ms => StopDecision::WaitUntil(serve_until_ms),
+        None if is_released || now_ms + CLOSING_MS >= exit_at_ms => StopDecision::CloseConnections,
+        Some(at_ms) if now_ms < at_ms + CLOSING_MS => StopDecision::WaitUntil(at_ms + CLOSING_MS),
+        Some(_) if is_released && world.calls.open.is_empty() => StopDecision::Exit,
+        None | Some(_) => StopDecision::WaitUntil(next_check_ms),
+    }
+}
+
+/// Closes callers' connections once the balancer routes calls elsewhere, and exits the process once no call is open.
 ///
 /// It exits in any case shortly before the grace period ends.
 pub fn finish_stop(world: &mut World, now_ms: u64) {
-    let StopState::Stopping { since_ms } = world.local.stop_state else { return };
-    let serve_until_ms = since_ms + DRAIN_MS.min(world.local.bounds.grace_ms / 2);
-    let exit_at_ms = since_ms + world.local.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS);
-    let idle = world.calls.open.is_empty() && world.holding.fence().is_none();
-    if now_ms >= exit_at_ms || (idle && now_ms >= serve_until_ms) {
-        if let Some(lease) = world.store_connection.lease.take() {
-            world.call_store(StorePurpose::EndLease, StoreOp::EndLease(lease), now_ms, STORE_TIMEOUT_MS);
+    let StopState::Stopping { since_ms, closing_since_ms } = world.local.stop_state else { return };
+    match decide_stop(world, since_ms, closing_since_ms, now_ms) {
+        StopDecision::WaitUntil(at_ms) => world.wake_by(at_ms),
+        StopDecision::CloseConnections => {
+            world.local.stop_state = StopState::Stopping { since_ms, closing_since_ms: Some(now_ms) };
+            world.emit(Effect::CloseCallerConnections);
+            world.wake_by(now_ms + CLOSING_MS);
+        }
+        StopDecision::Exit => {
+            if let Some(lease) = world.store_connection.lease.take() {
+                let op = StoreOp::EndLease(lease);
+                world.call_store(StorePurpose::EndLease, op, now_ms, STORE_TIMEOUT_MS);
+            }
+            world.emit(Effect::Exit);
         }
-        world.emit(Effect::Exit);
     }
-    world.wake_by(if now_ms < serve_until_ms { serve_until_ms } else { exit_at_ms.min(now_ms + 50) });
 }
--- a/crates/cassiahoist_standins/src/sim.rs
+++ b/crates/cassiahoist_standins/src/sim.rs
@@ -313,8 +313,8 @@
                 }
             }
             Effect::WriteLog(log_record) => self.record_log(daemon, log_record),
-            // No operator declares anything in the simulation.
-            Effect::AnswerDeclareCall { .. } => {}
+            // No operator declares anything in the simulation, and callers use a connection for each call.
+            Effect::AnswerDeclareCall { .. } | Effect::CloseCallerConnections => {}
             Effect::Exit => {
                 let restart_at_ms = self.now_ms + 500;
                 self.kill_daemon(daemon, restart_at_ms);
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -9,6 +9,7 @@
 mod earlier_clock;
 mod early_cancellations;
 mod engagement;
+mod graceful_stop;
 mod handled_starts;
 mod host_restarts;
 mod lasting_tasks;
--- a/crates/cassiahoist_traffic/src/caller_server.rs
+++ b/crates/cassiahoist_traffic/src/caller_server.rs
@@ -198,7 +198,8 @@
         }
         // Without an answer, a job or a cancellation may have been stored.
         let unanswered = if writes { ErrorKind::RecordUncertain } else { ErrorKind::StateAway };
-        pending.answer().await.unwrap_or(CallAnswer::Error { kind: unanswered, retry_after_ms: None })
+        let retry_after_ms = unanswered.answer().retryable.then_some(RETRY_AFTER_MS);
+        pending.answer().await.unwrap_or(CallAnswer::Error { kind: unanswered, retry_after_ms })
     }
 }
 
--- a/crates/cassiahoist_traffic/src/control_link.rs
+++ b/crates/cassiahoist_traffic/src/control_link.rs
@@ -65,6 +65,11 @@
 }
 
 impl<A> PendingCalls<A> {
+    /// Drops all calls, which then end without an answer.
+    fn abandon(&self) {
+        self.senders.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Adds a call; returns its number and the channel that its answer arrives on.
     fn register(&self) -> (u64, oneshot::Receiver<A>) {
         let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
@@ -160,6 +165,14 @@
         PendingAnswer { number, answer, link: self.clone() }
     }
 
+    /// Ends all calls without an answer, after the control thread has ended.
+    ///
+    /// Their callers are told what is known of a call that nobody answers.
+    pub fn abandon_calls(&self) {
+        self.calls.abandon();
+        self.declare_calls.abandon();
+    }
+
     /// Delivers the answer of a call, if its caller still waits.
     pub fn complete_call(&self, number: CallNumber, answer: CallAnswer) {
         self.calls.complete(number, answer);
--- a/crates/cassiahoist_traffic/src/dispatcher.rs
+++ b/crates/cassiahoist_traffic/src/dispatcher.rs
@@ -3,6 +3,7 @@
 use cassiahoist_telemetry::LogWriter;
 use cassiahoist_world::effect::Effect;
 use cassiahoist_world::traffic::{OpenConnections, TrafficTotals};
+use tokio::sync::watch;
 
 use crate::advice_client::AdviceClient;
 use crate::control_link::ControlLink;
@@ -29,6 +30,8 @@
     pub log: LogWriter,
     /// Counts the traffic of clients and servers.
     pub meter: TrafficMeter,
+    /// Set to close callers' connections.
+    pub caller_stop: watch::Sender<bool>,
     /// Runtime that the clients spawn their tasks on.
     pub runtime: tokio::runtime::Handle,
 }
@@ -70,6 +73,9 @@
             Effect::RequestAdvice { call, reply_to } => self.advice.request(call, reply_to),
             Effect::SendPeerMessage { address, message } => self.peers.send(&address, message),
             Effect::WriteLog(log_record) => self.log.write(log_record.event, &log_record.fields),
+            Effect::CloseCallerConnections => {
+                self.caller_stop.send_replace(true);
+            }
             Effect::Exit => return LoopControl::Exit,
         }
         LoopControl::Continue
--- a/crates/cassiahoist_traffic/tests/caller_server.rs
+++ b/crates/cassiahoist_traffic/tests/caller_server.rs
@@ -56,7 +56,7 @@
     address: String,
     control: ControlLink,
     _inputs: Receiver<ControlInput>,
-    _stop: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
 }
 
 impl TestServer {
@@ -77,7 +77,7 @@
             log: LogWriter::with_output(Severity::Error, &daemon, std::io::sink()).unwrap(),
         };
         drop(tokio::spawn(server.serve(listener, stop)));
-        Self { address, control, _inputs: inputs, _stop: stop_sender }
+        Self { address, control, _inputs: inputs, stop: stop_sender }
     }
 
     async fn connect(&self) -> TcpStream {
@@ -184,3 +184,29 @@
     assert_eq!(read_status(&mut stream).await, Some(400));
     assert_eq!(read_status(&mut stream).await, None);
 }
+
+/// A daemon stops while a request is in progress on one connection and another one is idle.
+///
+/// The idle one is closed, so that no request is read that nobody would answer. The other one gets its answer first.
+#[tokio::test(start_paused = true)]
+async fn stopping_server_closes_idle_connections_and_answers_requests_in_progress() {
+    let server = TestServer::start().await;
+    let mut idle = server.connect().await;
+    assert_eq!(request(&mut idle).await, Some(400));
+    let mut waiting = server.connect_and_wait().await;
+    server.stop.send_replace(true);
+    assert_eq!(read_status(&mut idle).await, None);
+    server.control.complete_call(1, CallAnswer::Pending(1));
+    assert_eq!(read_status(&mut waiting).await, Some(200));
+    assert_eq!(read_status(&mut waiting).await, None, "the connection is closed after the answer");
+}
+
+/// The control thread ends with calls that it has not answered. They were left open until the process was gone.
+#[tokio::test(start_paused = true)]
+async fn calls_that_control_leaves_open_are_answered() {
+    let server = TestServer::start().await;
+    let mut waiting = server.connect_and_wait().await;
+    server.stop.send_replace(true);
+    server.control.abandon_calls();
+    assert_eq!(read_status(&mut waiting).await, Some(503));
+}
--- a/crates/cassiahoist_world/src/effect.rs
+++ b/crates/cassiahoist_world/src/effect.rs
@@ -82,6 +82,8 @@
         /// Result of the call.
         outcome: DeclareOutcome,
     },
+    /// Closes callers' connections, each once its request in progress is answered, and accepts no further ones.
+    CloseCallerConnections,
     /// Ends the process at the end of a graceful stop.
     Exit,
 }
--- a/crates/cassiahoist_world/src/local.rs
+++ b/crates/cassiahoist_world/src/local.rs
@@ -12,6 +12,8 @@
     Stopping {
         /// When the stop was requested, in monotonic milliseconds.
         since_ms: u64,
+        /// Since when callers' connections are being closed, in monotonic milliseconds; `None` before.
+        closing_since_ms: Option<u64>,
     },
 }
 
