--- a/crates/cassiahoist_hosts/src/entries.rs
+++ b/crates/cassiahoist_hosts/src/entries.rs
@@ -32,6 +32,7 @@
 }
 
 fn apply_full_listing(world: &mut World, items: Vec<StoreItem>, now_ms: u64) {
+    // Those that are still in the store are listed again.
     world.hosts.deferred_entries.clear();
     let mut listed_names = FxHashSet::default();
     let known_hosts = world.hosts.len();
--- a/crates/cassiahoist_jobs/src/cancel.rs
+++ b/crates/cassiahoist_jobs/src/cancel.rs
@@ -76,7 +76,7 @@
             store_cancellation(world, number, now_ms);
         }
         Ok(StoreReply::Committed { .. }) if call.stage == CallStage::CancellingUnstored => {
-            let reason = "the store has no such job and takes it no more";
+            let reason = "the store has no such job, and none can be stored now";
             refuse_call(world, number, ErrorKind::UnknownJob, reason, now_ms);
         }
         Ok(StoreReply::Committed { .. }) => {
--- a/crates/cassiahoist_runs/src/stalls.rs
+++ b/crates/cassiahoist_runs/src/stalls.rs
@@ -81,8 +81,8 @@
 
 /// Returns whether a run should be progressing.
 ///
-/// Missing reports of its host, ends that its host keeps back, a gang that is still starting, a serving task, a filler and a paused run explain a lack of
-/// progress, so none of them counts as a stall.
+/// Missing reports of its host, ends that its host keeps back, a gang that is still starting, a serving task, a filler and a
+/// paused run explain a lack of progress, so none of them counts as a stall.
 fn expects_progress(world: &World, run: &Run, now_ms: u64) -> bool {
     let Some((_, step, spec)) = world.jobs.task_context(run.task) else { return false };
     // Answers to other orders report no progress, however often a slow holder sends them between two polls.
