--- a/crates/cassiahoist_standins/src/daemon_process.rs
+++ b/crates/cassiahoist_standins/src/daemon_process.rs
@@ -2,12 +2,14 @@
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use nix::errno::Errno;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use rand::Rng;
 
 use crate::loopback::PlatformAddresses;
 
@@ -99,6 +101,28 @@
     Ok(profile_folder.join("cassiahoist"))
 }
 
+/// Ports on which daemons listen.
+///
+/// The operating system gives greater ones to outgoing connections, and would take a port before its daemon binds it.
+const LISTEN_PORTS: Range<u16> = 10_000..32_000;
+
+/// Most ports that are tried for one listener.
+const MAX_PORT_ATTEMPTS: usize = 200;
+
+/// Binds a port that is not in use.
+fn bind_unused(ip: Ipv4Addr) -> std::io::Result<TcpListener> {
+    let mut rng = rand::rng();
+    let attempts = (0..MAX_PORT_ATTEMPTS).map(|_| TcpListener::bind((ip, rng.random_range(LISTEN_PORTS))));
+    let mut last_error = std::io::Error::other("no port was tried");
+    for attempt in attempts {
+        match attempt {
+            Ok(listener) => return Ok(listener),
+            Err(error) => last_error = error,
+        }
+    }
+    Err(last_error)
+}
+
 /// Addresses on which a daemon listens.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenAddresses {
@@ -113,15 +137,13 @@
 }
 
 impl ListenAddresses {
-    /// Returns addresses with ports that were free a moment ago.
-    ///
-    /// Another process may take one before it is bound.
+    /// Returns addresses with ports that were free a moment ago, from [`LISTEN_PORTS`].
     ///
     /// # Errors
-    /// The address has no free port.
+    /// The address has no free port there.
     pub fn unused(ip: Ipv4Addr) -> std::io::Result<Self> {
         // All are bound at a time, so that no two get the same port.
-        let bind = || TcpListener::bind((ip, 0));
+        let bind = || bind_unused(ip);
         let listeners = [bind()?, bind()?, bind()?, bind()?];
         let [callers, readiness, peers, operators] = listeners.each_ref().map(TcpListener::local_addr);
         Ok(Self { callers: callers?, readiness: readiness?, peers: peers?, operators: operators? })
