--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -11,7 +11,10 @@
 
 use crate::crashes::{HostLoss, awaits_fate_of_host, end_lost_runs, record_crash, record_loss};
 use crate::lifecycle::detach_run;
-use crate::permission::{inherited_lease_end_of_host_at_ms, inherited_leases_end_at_ms, is_unadopted};
+use crate::permission::{
+    inherited_lease_end_at_ms, inherited_lease_end_of_host_at_ms, inherited_leases_end_at_ms, is_unadopted,
+    may_hold_inherited_longest_lease,
+};
 
 /// How long a host's row is kept after its store entry disappeared, in milliseconds.
 const MISSING_HOST_RETENTION_MS: u64 = 15_000;
@@ -286,10 +289,11 @@
 /// Decides which inherited jobs may start tasks.
 #[must_use]
 pub fn decide_inherited_starts(world: &World, now_ms: u64) -> InheritedStarts {
-    if may_start_inherited_jobs(world, now_ms) {
+    let unadopted = UnadoptedHosts::collect(world, now_ms);
+    if may_start_beside(world, unadopted, now_ms) {
         return InheritedStarts::All;
     }
-    if may_ends_be_hidden(world, now_ms) {
+    if unadopted.may_hide_ends {
         return InheritedStarts::No;
     }
     let is_known =
@@ -300,9 +304,29 @@
     if runs_known { InheritedStarts::ExceptOnSilentHosts } else { InheritedStarts::No }
 }
 
-/// Returns whether a host keeps ends back that no holder has read. Any inherited task may be done among them.
-fn may_ends_be_hidden(world: &World, now_ms: u64) -> bool {
-    world.hosts.iter_engaged().any(|(_, host)| host.may_hide_ends(now_ms))
+/// What the hosts that have not reported all their runs may keep from this holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct UnadoptedHosts {
+    /// Whether one of them is in the roster, so that earlier holders may have runs there.
+    has_listed: bool,
+    /// Whether such a one may hold the longest run lease.
+    may_hold_longest_lease: bool,
+    /// Whether one keeps ends back that no holder has read. Any inherited task may be done among them.
+    may_hide_ends: bool,
+}
+
+impl UnadoptedHosts {
+    /// Goes over the engaged hosts once, since each round of placement asks.
+    fn collect(world: &World, now_ms: u64) -> Self {
+        let mut unadopted = Self::default();
+        let hosts = world.hosts.iter_engaged().map(|(_, host)| host);
+        for host in hosts.filter(|host| host.adoption == Adoption::Unknown) {
+            unadopted.has_listed |= is_unadopted(host);
+            unadopted.may_hold_longest_lease |= may_hold_inherited_longest_lease(host);
+            unadopted.may_hide_ends |= host.may_hide_ends(now_ms);
+        }
+        unadopted
+    }
 }
 
 /// Returns whether tasks of inherited jobs, those accepted before this daemon's claim, may start.
@@ -313,14 +337,14 @@
 /// ends back have to list them first.
 #[must_use]
 pub fn may_start_inherited_jobs(world: &World, now_ms: u64) -> bool {
-    if !world.holding.is_holding() || may_ends_be_hidden(world, now_ms) {
+    may_start_beside(world, UnadoptedHosts::collect(world, now_ms), now_ms)
+}
+
+fn may_start_beside(world: &World, unadopted: UnadoptedHosts, now_ms: u64) -> bool {
+    if !world.holding.is_holding() || unadopted.may_hide_ends {
         return false;
     }
-    let roster_adopted = || {
-        let mut hosts = world.hosts.iter_engaged();
-        hosts.all(|(_, host)| host.adoption == Adoption::Adopted || !host.in_roster)
-    };
     let has_ended = |end_ms: u64| now_ms >= end_ms && world.holding.claim_confirmed_at_ms >= end_ms;
-    inherited_leases_end_at_ms(world).is_some_and(has_ended)
-        || (!world.holding.loading.is_roster_unreadable && roster_adopted())
+    inherited_lease_end_at_ms(world, unadopted.may_hold_longest_lease).is_some_and(has_ended)
+        || (!world.holding.loading.is_roster_unreadable && !unadopted.has_listed)
 }
--- a/crates/cassiahoist_runs/src/permission.rs
+++ b/crates/cassiahoist_runs/src/permission.rs
@@ -211,26 +211,30 @@
 /// `None` while they may still extend them: until most hosts of each earlier roster are shut out.
 #[must_use]
 pub fn inherited_leases_end_at_ms(world: &World) -> Option<u64> {
-    let may_be_longest =
-        |host: &Host| is_unadopted(host) && host.earlier_clock_orders.are_from_before_restart();
-    let is_longest = world.holding.loading.is_roster_unreadable
-        || world.hosts.iter_engaged().any(|(_, host)| may_be_longest(host));
+    let is_longest = world.hosts.iter_engaged().any(|(_, host)| may_hold_inherited_longest_lease(host));
     inherited_lease_end_at_ms(world, is_longest)
 }
 
 /// Returns when the run lease of one host has ended if an earlier holder extended it, in monotonic milliseconds.
 pub(crate) fn inherited_lease_end_of_host_at_ms(world: &World, host: &Host) -> Option<u64> {
-    let is_longest =
-        world.holding.loading.is_roster_unreadable || host.earlier_clock_orders.are_from_before_restart();
-    inherited_lease_end_at_ms(world, is_longest)
+    inherited_lease_end_at_ms(world, host.earlier_clock_orders.are_from_before_restart())
 }
 
-fn inherited_lease_end_at_ms(world: &World, is_longest: bool) -> Option<u64> {
+/// Returns when inherited run leases have ended, of which some may be the longest that the platform allows.
+///
+/// An unreadable roster doesn't tell which ones are.
+pub(crate) fn inherited_lease_end_at_ms(world: &World, is_longest: bool) -> Option<u64> {
     let local = &world.local;
+    let is_longest = is_longest || world.holding.loading.is_roster_unreadable;
     let lease_ms = if is_longest { local.longest_run_lease_ms() } else { local.bounds.max_run_lease_ms() };
     predecessors_shut_out_at_ms(world).map(|at_ms| at_ms + PERMISSION_MS + lease_ms)
 }
 
+/// Returns whether an unadopted host may hold the longest lease, after a restart under an earlier holder.
+pub(crate) fn may_hold_inherited_longest_lease(host: &Host) -> bool {
+    is_unadopted(host) && host.earlier_clock_orders.are_from_before_restart()
+}
+
 /// Returns whether earlier holders may have runs on a host that has not reported them.
 pub(crate) fn is_unadopted(host: &Host) -> bool {
     host.in_roster && host.adoption == Adoption::Unknown
--- a/crates/cassiahoist_world/src/calls.rs
+++ b/crates/cassiahoist_world/src/calls.rs
@@ -140,7 +140,7 @@
     ReadingProgress,
     /// There is no progress record, and the job record is being read instead.
     ReadingJob,
-    /// The job record is being read, since only an existing job can be cancelled.
+    /// The job record is being read, since the answer to a cancellation depends on whether it is there.
     CheckingJobExists,
     /// The cancellation of a stored job is being stored.
     Cancelling,
