--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/standins-3/target/release/review-standins-3
 [ -x "$program" ] || exit 2
-"$program" case late-pace review/14/record.txt "${TROUBLE:-1}"
+"$program" case uncounted-jobs review/14/record.txt "${TROUBLE:-1}"
