--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -67,6 +67,30 @@
     found.collect()
 }
 
+/// Hands in a job whose tasks last, one on each runner of kind `a`, as other work of the deployment.
+fn submit_lasting_work(cell: &Cell, runners: usize) {
+    let body = format!(
+        r#"{{"spec":"last","steps":[{{"count":{runners},"cpu":2500,"memMb":512,"estimateMs":300,"requiredLabel":"a","persistent":true,"maxPerServer":1}}]}}"#
+    );
+    cell.submit(2, "dddddddddddddddd", &body);
+    let begun = || cell.record.lines_with(&[" start dddddddddddddddd"]).len() >= runners;
+    cell.require(wait_for(Duration::from_secs(5), begun), "the lasting work did not begin");
+}
+
+/// Time for which the site lets a share of the orders be late, and that share.
+const LATE_ORDERS: Duration = Duration::from_millis(5_500);
+const LATE_SHARE: f64 = 0.055;
+
+/// Records which share one late order has of those in 5.5 s from it on; the case can't run if it is too large.
+///
+/// Those of a process that was killed meanwhile are not counted, so that the share is rather smaller.
+fn check_late_share(cell: &Cell, orders_before: u64) {
+    let orders = cell.orders().saturating_sub(orders_before) + 1;
+    let share = 1.0 / orders as f64;
+    cell.record.add(&format!("1 of {orders} orders in 5.5 s is late, a share of {share:.4}"));
+    cell.require(share <= LATE_SHARE, "too large a share of the orders is late");
+}
+
 /// Adds the runs of a task to the record; returns their number, and that of pairs of them at the same time.
 fn record_overlaps(cell: &Cell, task: &str) -> (usize, usize) {
     let runs = runs_of(cell, task);
@@ -84,6 +108,7 @@
     let mut cell = Cell::start(record);
     cell.await_ready();
     start_runners(&mut cell, 26, &["i-g01"]);
+    submit_lasting_work(&cell, 26);
     // The smaller of the two runners of its kind, so that the task fits it best. It joins last.
     let mut profile = cell.profile("i-g00", &["g", "r1-9"], 4_000);
     profile.mem_mb = 1_024;
@@ -102,12 +127,15 @@
     if trouble {
         let is_withheld = wait_for(Duration::from_secs(2), || proxy.has_withheld());
         cell.require(is_withheld, "no start came to the proxy");
+        let orders_before = cell.orders();
         sleep_until(sent + Duration::from_millis(2_000));
         proxy.set_silent(true);
         let profile = cell.kill_runner("i-g00");
         sleep_until(sent + Duration::from_millis(4_000));
         cell.start_runner(profile);
         proxy.set_silent(false);
+        sleep_until(sent + LATE_ORDERS);
+        check_late_share(&cell, orders_before);
         sleep_until(sent + Duration::from_millis(8_000));
         proxy.deliver_withheld();
     }
@@ -159,6 +187,7 @@
     let mut cell = Cell::start(record);
     cell.await_ready();
     start_runners(&mut cell, 27, &[]);
+    submit_lasting_work(&cell, 27);
     let mut profile = cell.profile("i-g00", &["g", "r1-9"], 32_000);
     let proxy = Proxy::start(profile.listen, cell.record.clone());
     profile.address = proxy.address;
@@ -176,12 +205,13 @@
             wait_for(Duration::from_secs(10), || proxy.has_withheld()),
             "no pace order came to the proxy",
         );
-        let withheld = Instant::now();
-        sleep_until(withheld + Duration::from_millis(2_500));
+        let (withheld, orders_before) = (Instant::now(), cell.orders());
+        sleep_until(withheld + LATE_ORDERS);
+        check_late_share(&cell, orders_before);
         let paused = || cell.record.lines_with(&["runner i-g00 paces", " to 0"]).len();
         let before = paused();
         cell.require(
-            wait_for(Duration::from_secs(8), || paused() > before),
+            wait_for(Duration::from_secs(5), || paused() > before),
             "the filler was not paced down again",
         );
         std::thread::sleep(Duration::from_millis(400));
--- a/review/standins-3/src/cell.rs
+++ b/review/standins-3/src/cell.rs
@@ -396,14 +396,25 @@
     }
 
     /// Stops the process of a runner, which then neither answers nor closes its connections.
-    pub fn pause_runner(&self, id: &str) {
+    pub fn pause_runner(&mut self, id: &str) {
         let found = self.runners.iter().find(|(profile, _)| profile.id == id);
-        let process = found.map(|(_, child)| child.id().to_string()).expect("a runner");
+        let (_, child) = found.expect("a runner");
+        // A stopped process doesn't see the end of its input.
+        self.guard.add(child);
+        let process = child.id();
         let stopped = Command::new("sh").args(["-c", &format!("kill -STOP {process}")]).status();
         self.require(stopped.is_ok_and(|status| status.success()), "the runner was not stopped");
         self.record.add(&format!("runner {id} stopped for good"));
     }
 
+    /// Returns the number of orders that the present processes of all runners have got.
+    pub fn orders(&self) -> u64 {
+        let ask =
+            |profile: &Profile| call(profile.listen, "GET", "/orders", &[], "", Duration::from_millis(500));
+        let answers = self.runners.iter().filter_map(|(profile, _)| ask(profile));
+        answers.filter_map(|(_, body)| Some(parse(body.as_bytes())?.get("orders").u64())).sum()
+    }
+
     /// Sends a client's request to one daemon and records both sides.
     pub fn request(&self, daemon: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let path = format!("{}{id}", self.prefix);
--- a/review/standins-3/src/runner.rs
+++ b/review/standins-3/src/runner.rs
@@ -68,6 +68,8 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     ends: u64,
     lease_until_ms: u64,
+    /// Orders that arrived.
+    orders: u64,
     /// Tail of the response times of its serving task, in milliseconds, as it was last printed.
     printed_tail_ms: u64,
 }
@@ -188,12 +190,17 @@
         if request.path == "/health" {
             return (200, "{}".into());
         }
+        // Asked by the script only.
+        if request.path == "/orders" {
+            return (200, format!("{{\"orders\":{}}}", self.lock().orders));
+        }
         let intended = request.header("x-expect-instance");
         if !intended.is_empty() && intended != self.profile.id {
             return (421, format!("{{\"clockMs\":{}}}", self.clock_ms()));
         }
         let Some(body) = parse(&request.body) else { return (400, "{}".into()) };
         let mut state = self.lock();
+        state.orders += 1;
         let fence = body.get("fence").u64();
         if fence < state.fence {
             return self.refuse("fence");
