--- a/crates/cassiahoist_runs/src/crashes.rs
+++ b/crates/cassiahoist_runs/src/crashes.rs
@@ -274,7 +274,7 @@
     let host = world.hosts.get(run.host)?;
     let was_heard = host.last_answer_at_ms >= run.start_sent_at_ms || host.refuses_connections;
     let was_at_work = run.adopted && run.progress_percent > 0;
-    if !was_heard || was_at_work || has_harmless_run(world, key, now_ms) {
+    if !was_heard || was_at_work || run.is_restored || has_harmless_run(world, key, now_ms) {
         return None;
     }
     crash_of(world, key, now_ms).filter(Crash::is_early)
@@ -282,7 +282,8 @@
 
 /// Returns the crash of a run that was not new any more.
 fn late_crash(world: &World, key: RunKey, now_ms: u64) -> Option<Crash> {
-    if has_harmless_run(world, key, now_ms) {
+    let is_restored = world.runs.rows.get(key).is_some_and(|run| run.is_restored);
+    if is_restored || has_harmless_run(world, key, now_ms) {
         return None;
     }
     let crash = crash_of(world, key, now_ms)?;
--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -10,6 +10,7 @@
 
 use crate::adopt::adopt_run;
 use crate::crashes::{give_up_crashing_task, settle_crashes, withdraw_crash};
+use crate::late_starts::remember_late_start;
 use crate::lease_expiry::reset_restarted_host;
 use crate::lifecycle::reattach_run;
 use crate::occurrences::find_reported_task;
@@ -237,6 +238,7 @@
         if maybe_lost {
             settle_crashes(world, task);
         }
+        remember_late_start(world, run, now_ms);
         end_run(world, run, RunEnding::Lapsed, &std::sync::Arc::from(""), now_ms);
         if maybe_lost {
             give_up_crashing_task(world, task, now_ms);
--- a/crates/cassiahoist_runs/src/lease_expiry.rs
+++ b/crates/cassiahoist_runs/src/lease_expiry.rs
@@ -6,10 +6,11 @@
 use cassiahoist_world::earlier_clock::EarlierClockOrders;
 use cassiahoist_world::hosts::{Adoption, Host, HostKey, HostSpeed, OrphanRuns, Poll, Restart};
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::runs::RunKey;
+use cassiahoist_world::runs::{MAX_ORDER_DELAY_MS, Run, RunKey, RunState};
 use cassiahoist_world::unrecorded_ends::UnrecordedEnds;
 
 use crate::crashes::{HostLoss, awaits_fate_of_host, end_lost_runs, record_crash, record_loss};
+use crate::late_starts::{remember_late_start, restore_late_starts, restore_run};
 use crate::lifecycle::detach_run;
 use crate::orphans::{release_orphans, replace_orphans};
 use crate::permission::{
@@ -20,9 +21,6 @@
 /// How long a host's row is kept after its store entry disappeared, in milliseconds.
 const MISSING_HOST_RETENTION_MS: u64 = 15_000;
 
-/// Time for which an order that was given up without an answer may take effect, in milliseconds.
-const MAX_ORDER_DELAY_MS: u64 = 12_000;
-
 /// Longest time for which a task that runs until cancelled waits for a start order that may take effect late, in
 /// milliseconds.
 ///
@@ -144,8 +142,7 @@
     At(u64),
 }
 
-fn decide_run_expiry(world: &World, key: RunKey) -> RunExpiry {
-    let Some(run) = world.runs.rows.get(key) else { return RunExpiry::WithLease };
+fn decide_run_expiry(world: &World, run: &Run) -> RunExpiry {
     let Some(since_ms) = run.late_start_since_ms() else { return RunExpiry::WithLease };
     match world.jobs.task_context(run.task) {
         Some((_, _, spec)) if spec.allows_copies && !spec.gang => RunExpiry::WithLease,
@@ -161,10 +158,11 @@
     let Some(host) = world.hosts.get(key) else { return Vec::new() };
     let mut ended_runs = Vec::new();
     let mut next_end_at_ms = u64::MAX;
-    for run in host.runs.iter().copied() {
+    for key in host.runs.iter().copied() {
+        let Some(run) = world.runs.rows.get(key) else { continue };
         match decide_run_expiry(world, run) {
             RunExpiry::At(at_ms) if now_ms < at_ms => next_end_at_ms = next_end_at_ms.min(at_ms),
-            RunExpiry::At(_) | RunExpiry::WithLease => ended_runs.push(run),
+            RunExpiry::At(_) | RunExpiry::WithLease => ended_runs.push(key),
         }
     }
     world.wake_by(next_end_at_ms);
@@ -193,7 +191,29 @@
         .with("lease_ended_ms_ago", now_ms.saturating_sub(host.lease_end_ms))
         .with("kept_runs", kept_runs);
     world.log(log_record);
+    for run in &runs {
+        remember_late_start(world, *run, now_ms);
+    }
     end_lost_runs(world, &runs, HostLoss::Silent, "its lease expired", now_ms);
+    restore_awaited_starts(world, key, now_ms);
+}
+
+/// Restores those remembered runs of a silent host for whose starts their tasks have to wait.
+fn restore_awaited_starts(world: &mut World, key: HostKey, now_ms: u64) {
+    let Some(host) = world.hosts.get_mut(key) else { return };
+    for run in host.take_late_starts(now_ms) {
+        match decide_run_expiry(world, &run) {
+            RunExpiry::At(at_ms) if now_ms < at_ms => {
+                world.wake_by(at_ms);
+                restore_run(world, run, now_ms);
+            }
+            RunExpiry::At(_) | RunExpiry::WithLease => {
+                if let Some(host) = world.hosts.get_mut(key) {
+                    host.remember_late_start(&run, now_ms);
+                }
+            }
+        }
+    }
 }
 
 /// Records the loss of a host that was not silent before its restart showed.
@@ -207,7 +227,8 @@
 ///
 /// The restarted host has lost its fence and its lists.
 ///
-/// Runs that no poll has listed yet are kept until the next poll, since the new incarnation may have started them.
+/// Runs that no poll has listed yet are kept until the next poll, since the new incarnation may have started them. Stops that
+/// the earlier incarnation confirmed are ordered again.
 pub fn reset_restarted_host(world: &mut World, key: HostKey, cause: &str, now_ms: u64) {
     let latest_fence = world.order_fence(key).unwrap_or_default();
     world.shut_out_earlier_orders(key);
@@ -253,9 +274,13 @@
         record_crash(world, run, HostLoss::Restarted, now_ms);
         if let Some(run) = world.runs.rows.get_mut(run) {
             run.maybe_lost = true;
+            if run.state == RunState::Settled {
+                run.unsettle(now_ms);
+            }
         }
     }
     end_lost_runs(world, &runs, HostLoss::Restarted, cause, now_ms);
+    restore_late_starts(world, key, now_ms);
 }
 
 /// Removes a host whose address now belongs to another host.
--- a/crates/cassiahoist_runs/src/lib.rs
+++ b/crates/cassiahoist_runs/src/lib.rs
@@ -8,6 +8,7 @@
 mod handled_starts;
 mod health;
 mod host_lists;
+mod late_starts;
 mod lease_expiry;
 mod lifecycle;
 mod load;
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -42,6 +42,7 @@
         adopted: state == RunState::Running,
         maybe_lost: false,
         start_unanswered_at_ms: None,
+        is_restored: false,
         order_in_flight: false,
         next_stop_at_ms: now_ms,
         progress_percent: 0,
@@ -135,7 +136,7 @@
 }
 
 /// Marks a task as placed on a run and removes it from the step's pending tasks.
-fn mark_placed(world: &mut World, task_key: TaskKey, run: RunKey) {
+pub(crate) fn mark_placed(world: &mut World, task_key: TaskKey, run: RunKey) {
     let Some(task) = world.jobs.tasks.get_mut(task_key) else { return };
     task.state = TaskState::Placed(run);
     let step_key = task.step;
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -18,6 +18,7 @@
 mod host_restarts;
 mod identity;
 mod lasting_tasks;
+mod late_starts;
 mod late_ticks;
 mod link_budget;
 mod load;
@@ -30,6 +31,7 @@
 mod recording;
 mod run_times;
 mod runs;
+
 mod slow_holder;
 mod slow_reports;
 mod stalls;
--- a/crates/cassiahoist_standins/tests/systems/runs.rs
+++ b/crates/cassiahoist_standins/tests/systems/runs.rs
@@ -36,7 +36,8 @@
     assert_eq!(stop.host_name, start.host_name);
     holder.tick(500);
     assert!(holder.starts().is_empty(), "no new run before the host accepts the stop");
-    holder.answer(stop, OrderOutcome::Done { lists: None }, Some(3_000));
+    let clock_ms = holder.now_ms;
+    holder.answer(stop, OrderOutcome::Done { lists: None }, Some(clock_ms));
     holder.tick(10);
     assert!(holder.starts().is_empty(), "only a poll after the stop shows that the run never started");
     holder.report_lists(host, running_lists(Vec::new()));
--- a/crates/cassiahoist_world/src/hosts.rs
+++ b/crates/cassiahoist_world/src/hosts.rs
@@ -15,7 +15,7 @@
 use crate::keys::{JobKey, RunKey, TaskKey};
 use crate::rows::{IndexedRows, Row};
 use crate::run_time_ratios::RecentRatios;
-use crate::runs::RunTable;
+use crate::runs::{Run, RunTable};
 use crate::spec::StepSpec;
 use crate::unrecorded_ends::UnrecordedEnds;
 
@@ -235,6 +235,8 @@
     pub orphans: OrphanRuns,
     /// Rows of the runs on the host.
     pub runs: FxHashSet<RunKey>,
+    /// Runs without a row whose starts the host never confirmed, and may carry out late in another incarnation.
+    late_starts: Vec<Run>,
     /// Record of failures by which it is quarantined.
     pub standing: Standing,
     /// Whether the host refused the last connection, so that its process has probably ended.
@@ -313,6 +315,7 @@
             reserved: Resources::default(),
             orphans: OrphanRuns::default(),
             runs: FxHashSet::default(),
+            late_starts: Vec::new(),
             standing: Standing::default(),
             refuses_connections: false,
             last_start_at_ms: 0,
@@ -352,6 +355,21 @@
             || (self.last_restart.is_some() && self.lease_end_ms > now_ms + lease_ms)
     }
 
+    /// Remembers a run for as long as its start may take effect late.
+    pub fn remember_late_start(&mut self, run: &Run, now_ms: u64) {
+        self.late_starts.retain(|late| may_start_late(late, now_ms));
+        if may_start_late(run, now_ms) {
+            self.late_starts.push(run.clone());
+        }
+    }
+
+    /// Takes the remembered runs whose starts may still take effect.
+    pub fn take_late_starts(&mut self, now_ms: u64) -> Vec<Run> {
+        let mut runs = std::mem::take(&mut self.late_starts);
+        runs.retain(|late| may_start_late(late, now_ms));
+        runs
+    }
+
     /// Ends the listing of the host as silent, since it answers. The roster has to be written before its next start.
     ///
     /// Returns whether it was listed so.
@@ -456,6 +474,10 @@
     }
 }
 
+fn may_start_late(run: &Run, now_ms: u64) -> bool {
+    run.late_start_until_ms().is_some_and(|until_ms| now_ms < until_ms)
+}
+
 impl Row for Host {
     type Id = HostName;
 
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -79,6 +79,10 @@
     ///
     /// The order may still take effect, even in a later incarnation of the host.
     pub start_unanswered_at_ms: Option<u64>,
+    /// Whether the row was removed before and restored after a restart or a silence of the host.
+    ///
+    /// Crashes before that have been counted.
+    pub is_restored: bool,
     /// Whether an order about the run is in flight.
     pub order_in_flight: bool,
     /// When to send the next stop order, in monotonic milliseconds.
@@ -113,16 +117,46 @@
         self.last_progress_at_ms = now_ms;
     }
 
-    /// Returns when the start order was last under way, in monotonic milliseconds; `None` if the host has answered it.
+    /// Returns whether the host has confirmed the start, by its answer or in its lists.
+    fn is_start_confirmed(&self) -> bool {
+        self.listed_by_host || self.start_clock_ms > 0
+    }
+
+    /// Returns when the start order was last under way, in monotonic milliseconds; `None` if the host has confirmed it.
     ///
-    /// It may take effect after the end of the host's run lease, of which a later incarnation knows nothing.
+    /// It may take effect after the end of the host's run lease and in spite of a stop, of which a later incarnation knows
+    /// nothing.
     #[must_use]
     pub fn late_start_since_ms(&self) -> Option<u64> {
-        let in_flight = self.state == RunState::Starting && self.order_in_flight;
-        self.start_unanswered_at_ms.or_else(|| in_flight.then_some(self.start_sent_at_ms))
+        let may_be_under_way = match self.state {
+            RunState::Starting => self.order_in_flight,
+            RunState::Running => false,
+            RunState::Unsettled | RunState::Stopping | RunState::Settled => !self.is_start_confirmed(),
+        };
+        may_be_under_way.then(|| self.start_unanswered_at_ms.unwrap_or(self.start_sent_at_ms))
+    }
+
+    /// Returns until when the start order may take effect at a later incarnation of the host, in monotonic milliseconds.
+    ///
+    /// `None` if the host has confirmed it.
+    #[must_use]
+    pub fn late_start_until_ms(&self) -> Option<u64> {
+        self.late_start_since_ms().map(|since_ms| since_ms + MAX_ORDER_DELAY_MS)
+    }
+
+    /// Forgets that the host confirmed the stop, since its present incarnation has not.
+    ///
+    /// Another stop order is due.
+    pub fn unsettle(&mut self, now_ms: u64) {
+        self.state = RunState::Unsettled;
+        self.next_stop_at_ms = now_ms;
+        self.order_in_flight = false;
     }
 }
 
+/// Time for which an order that was given up without an answer may take effect, in milliseconds.
+pub const MAX_ORDER_DELAY_MS: u64 = 12_000;
+
 /// All runs that have resources reserved on a host.
 #[derive(Debug, Default)]
 pub struct RunTable {
