--- a/crates/cassiahoist_runs/src/host_lists.rs
+++ b/crates/cassiahoist_runs/src/host_lists.rs
@@ -12,7 +12,7 @@
 use crate::crashes::{give_up_crashing_task, settle_crashes, withdraw_crash};
 use crate::late_starts::remember_late_start;
 use crate::lease_expiry::reset_restarted_host;
-use crate::lifecycle::reattach_run;
+use crate::lifecycle::{mark_job_begun, mark_task_begun, reattach_run};
 use crate::occurrences::find_reported_task;
 use crate::orphans::replace_orphans;
 use crate::outcome::{AfterDone, decide_after_done, end_run, finish_task, record_failed_run};
@@ -119,6 +119,9 @@
     host.last_end_applied = report.end_number;
     host.unrecorded_ends.push(report.end_number, job);
     world.store_writes.ends_unrecorded = true;
+    if let Some(job) = job {
+        mark_job_begun(world, job);
+    }
     let known_run = find_run(world, key, &report.task, report.run_number);
     if let Some(run) = known_run {
         return end_run(world, run, report.ending, &report.checkpoint, now_ms);
@@ -170,6 +173,7 @@
         run.progress_clock_ms = clock_ms;
     }
     let task = run.task;
+    mark_task_begun(world, task);
     if !report.checkpoint.is_empty()
         && let Some(task) = world.jobs.tasks.get_mut(task)
         && *task.checkpoint != *report.checkpoint
@@ -187,6 +191,9 @@
 /// Adopts a run without a row if its task is pending, else stops it.
 fn adopt_or_stop_run(world: &mut World, host: HostKey, report: &RunReport, now_ms: u64) -> Option<RunKey> {
     let task = find_reported_task(world, &report.task, now_ms);
+    if let Some(task) = task {
+        mark_task_begun(world, task);
+    }
     let is_pending = task
         .is_some_and(|task| world.jobs.tasks.get(task).is_some_and(|task| task.state == TaskState::Pending));
     if let (Some(task), true) = (task, is_pending)
--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -12,8 +12,8 @@
 
 /// Creates a run's row and reserves its resources on the host.
 ///
-/// It also marks the task as placed and a queued job as running. `run_number` rises with each start of the task.
-/// `state` is `Starting` for a new run and `Running` for an adopted one. Returns `None` if the task no longer exists.
+/// It also marks the task as placed. `run_number` rises with each start of the task. `state` is `Starting` for a new run and
+/// `Running` for an adopted one. Returns `None` if the task no longer exists.
 pub fn reserve_run(
     world: &mut World,
     task_key: TaskKey,
@@ -69,16 +69,28 @@
     begin_probation(world, key);
     if let Some(step) = world.jobs.steps.get_mut(step_key) {
         step.last_gang_run = step.last_gang_run.max(run_number);
-        let job = step.job;
-        if let Some(job) = world.jobs.get_mut(job)
-            && job.state == JobState::Queued
-        {
-            job.state = JobState::Running;
-        }
     }
     Some(key)
 }
 
+/// Marks a queued job as running, since a host has begun a run of one of its tasks.
+///
+/// A start order alone shows nothing: the host may refuse it or never get it.
+pub(crate) fn mark_job_begun(world: &mut World, job: JobKey) {
+    if let Some(job) = world.jobs.get_mut(job)
+        && job.state == JobState::Queued
+    {
+        job.state = JobState::Running;
+    }
+}
+
+/// Marks the job of a task as running, since a host has begun a run of the task.
+pub(crate) fn mark_task_begun(world: &mut World, task: TaskKey) {
+    if let Some((_, step, _)) = world.jobs.task_context(task) {
+        mark_job_begun(world, step.job);
+    }
+}
+
 /// Removes a run's row and releases its resources on the host.
 pub(crate) fn drop_run(world: &mut World, key: RunKey) -> Option<Run> {
     let run = world.runs.rows.remove(key)?;
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -14,7 +14,7 @@
 use crate::health::record_failure;
 use crate::host_lists::apply_host_lists;
 use crate::lease_expiry::{remove_replaced_host, reset_restarted_host};
-use crate::lifecycle::{drop_run, requeue_placed_task, stop_run};
+use crate::lifecycle::{drop_run, mark_task_begun, requeue_placed_task, stop_run};
 use crate::outcome::break_gang;
 use crate::pace::apply_pace_answer;
 use crate::poll::{has_short_pauses, schedule_poll};
@@ -334,6 +334,7 @@
             if run.start_clock_ms == 0 {
                 run.start_clock_ms = clock_ms;
             }
+            mark_task_begun(world, task);
         }
         OrderOutcome::Unknown => {
             run.start_unanswered_at_ms = (!run.listed_by_host).then_some(completion.completed_at_ms);
--- a/crates/cassiahoist_standins/tests/systems/main.rs
+++ b/crates/cassiahoist_standins/tests/systems/main.rs
@@ -3,6 +3,7 @@
 mod account_caps;
 mod account_shares;
 mod backlog;
+mod begun_jobs;
 mod calls;
 mod claims;
 mod config_age;
