--- a/crates/cassiahoist_runs/src/lifecycle.rs
+++ b/crates/cassiahoist_runs/src/lifecycle.rs
@@ -52,6 +52,8 @@
         is_resumed,
         expected_run_ms: expected_run_ms(world, task_key, host),
         pace_percent: (state == RunState::Starting).then_some(100),
+        pace_sent_at_ms: 0,
+        late_pace_until_ms: 0,
     };
     let key = world.runs.rows.insert(run);
     world.account_usage.add(account, &task_size);
--- a/crates/cassiahoist_runs/src/order_answers.rs
+++ b/crates/cassiahoist_runs/src/order_answers.rs
@@ -162,7 +162,7 @@
         Order::Start { run, .. } => apply_start_answer(world, run, &completion, now_ms),
         Order::Stop { run: Some(run), .. } => apply_stop_answer(world, run, &completion.outcome, now_ms),
         Order::SetPace { run, percent, .. } => {
-            apply_pace_answer(world, run, percent, &completion.outcome, now_ms);
+            apply_pace_answer(world, run, percent, &completion, now_ms);
         }
         Order::Stop { run: None, .. } => {}
         Order::Poll { lease_until_ms, wait_ms, .. } => {
--- a/crates/cassiahoist_runs/src/pace.rs
+++ b/crates/cassiahoist_runs/src/pace.rs
@@ -5,9 +5,9 @@
 
 use cassiahoist_core::prelude::*;
 use cassiahoist_world::hosts::HostKey;
-use cassiahoist_world::orders::{Order, OrderOutcome, RefusalReason};
+use cassiahoist_world::orders::{Order, OrderCompletion, OrderOutcome, RefusalReason};
 use cassiahoist_world::prelude::*;
-use cassiahoist_world::runs::{RunKey, RunState};
+use cassiahoist_world::runs::{Run, RunKey, RunState};
 
 /// Tail latency above which fillers slow down, in percent of its target.
 const SLOW_ABOVE_PERCENT: u64 = 85;
@@ -35,6 +35,11 @@
 /// Delay before pace orders are sent again after one failed, in milliseconds.
 const PACE_RETRY_MS: u64 = 200;
 
+/// Interval between repetitions of a pace order that an earlier one without an answer may undo, in milliseconds.
+///
+/// It bounds the time for which a run has the pace of the earlier order.
+const PACE_REPEAT_MS: u64 = 1_000;
+
 /// Adjusts the filler pace of a host to its worst tail latency.
 ///
 /// `worst_percent` is relative to the target; it is `None` without serving tasks, and then fillers run at full pace.
@@ -65,48 +70,96 @@
     }
 }
 
-/// Sends pace orders for fillers whose pace differs from that of their host.
+/// Whether a filler gets a pace order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PaceDecision {
+    /// Its pace is that of its host.
+    Keep,
+    /// It is sent its pace again at this time, in monotonic milliseconds.
+    RepeatAt(u64),
+    /// It is sent its pace now.
+    Send,
+}
+
+fn decide_pace(run: &Run, target_percent: u8, now_ms: u64) -> PaceDecision {
+    let repeat_at_ms = run.pace_sent_at_ms + PACE_REPEAT_MS;
+    if run.pace_percent != Some(target_percent) {
+        PaceDecision::Send
+    } else if !run.is_pace_uncertain() {
+        PaceDecision::Keep
+    } else if now_ms < repeat_at_ms {
+        PaceDecision::RepeatAt(repeat_at_ms)
+    } else {
+        PaceDecision::Send
+    }
+}
+
+/// Sends pace orders for fillers whose pace differs from that of their host, or may differ because of an earlier order.
 pub fn send_filler_pace(world: &mut World, now_ms: u64) {
     if !world.holding.has_permission(now_ms) || now_ms < world.runs.next_pace_check_at_ms {
         return;
     }
     world.runs.next_pace_check_at_ms = now_ms + CHECK_INTERVAL_MS;
-    let due: Vec<(RunKey, u8)> = world
-        .runs
-        .rows
-        .iter()
-        .filter(|(_, run)| run.state == RunState::Running && !run.order_in_flight)
-        .filter_map(|(key, run)| {
-            let host = world.hosts.get(run.host).filter(|host| host.unresponsive_since_ms.is_none())?;
-            let (_, _, spec) = world.jobs.task_context(run.task)?;
-            let target_percent = host.filler_pace_percent;
-            (spec.filler && run.pace_percent != Some(target_percent)).then_some((key, target_percent))
-        })
-        .collect();
+    let mut due: Vec<(RunKey, u8)> = Vec::new();
+    let mut next_repeat_at_ms = u64::MAX;
+    for (key, run) in &world.runs.rows {
+        let Some(target_percent) = host_pace_percent(world, run) else { continue };
+        match decide_pace(run, target_percent, now_ms) {
+            PaceDecision::Keep => {}
+            PaceDecision::RepeatAt(at_ms) => next_repeat_at_ms = next_repeat_at_ms.min(at_ms),
+            PaceDecision::Send => due.push((key, target_percent)),
+        }
+    }
+    world.wake_by(next_repeat_at_ms);
     for (key, percent) in due {
         let Some(run) = world.runs.rows.get_mut(key) else { continue };
         run.pace_percent = Some(percent);
+        run.pace_sent_at_ms = now_ms;
         let (host, order) =
             (run.host, Order::SetPace { run: key, task: run.name, run_number: run.run_number, percent });
         world.send_order(host, order, PACE_ORDER_TIMEOUT_MS, now_ms);
     }
 }
 
-/// Marks the pace of a run as unknown if the order to set it may not have taken effect. It is then sent again.
+/// Returns the pace that a run should have; `None` if it is no filler at work on a host that answers.
+fn host_pace_percent(world: &World, run: &Run) -> Option<u8> {
+    if run.state != RunState::Running || run.order_in_flight {
+        return None;
+    }
+    let host = world.hosts.get(run.host).filter(|host| host.unresponsive_since_ms.is_none())?;
+    let (_, _, spec) = world.jobs.task_context(run.task)?;
+    spec.filler.then_some(host.filler_pace_percent)
+}
+
+/// Notes whether the pace of a run is known after an answer to a pace order. If it is not, the order is sent again.
+///
+/// Orders may take effect in another order than that of their answers, and one without an answer after later ones. The host
+/// refuses it only once it has executed an order under a greater fencing token, which the next one may have.
 pub(crate) fn apply_pace_answer(
     world: &mut World,
     key: RunKey,
     percent: u8,
-    outcome: &OrderOutcome,
+    completion: &OrderCompletion,
     now_ms: u64,
 ) {
-    match outcome {
-        OrderOutcome::Refused(RefusalReason::Unwell) | OrderOutcome::NotSent(_) | OrderOutcome::Unknown => {}
-        OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => return,
-    }
+    let next_fence = world.order_fence(completion.order.host);
+    let is_shut_out_by_next = next_fence.is_some_and(|fence| fence > completion.order.fence);
     let Some(run) = world.runs.rows.get_mut(key) else { return };
-    // A later order may have set another pace.
-    if run.pace_percent == Some(percent) {
+    let is_latest = run.pace_percent == Some(percent);
+    let is_pace_known = match completion.outcome {
+        OrderOutcome::Done { .. } => is_latest,
+        OrderOutcome::Unknown if is_shut_out_by_next => false,
+        OrderOutcome::Unknown => {
+            run.expect_late_pace(now_ms);
+            !is_latest
+        }
+        // The host did nothing, so that the pace of a later order holds.
+        OrderOutcome::Refused(RefusalReason::Unwell | RefusalReason::Fence) | OrderOutcome::NotSent(_) => {
+            !is_latest
+        }
+        OrderOutcome::Refused(_) => true,
+    };
+    if !is_pace_known {
         run.pace_percent = None;
         world.runs.next_pace_check_at_ms = world.runs.next_pace_check_at_ms.max(now_ms + PACE_RETRY_MS);
     }
--- a/crates/cassiahoist_world/src/runs.rs
+++ b/crates/cassiahoist_world/src/runs.rs
@@ -104,6 +104,10 @@
     /// It is below 100 only for fillers. `None` if it is unknown, as for an adopted run or after an order that may not have
     /// taken effect.
     pub pace_percent: Option<u8>,
+    /// When the latest pace order was issued, in monotonic milliseconds; 0 before the first.
+    pub pace_sent_at_ms: u64,
+    /// Until when a pace order without an answer may take effect, in monotonic milliseconds; 0 before the first such order.
+    pub late_pace_until_ms: u64,
 }
 
 impl Run {
@@ -144,6 +148,17 @@
         self.late_start_since_ms().map(|since_ms| since_ms + MAX_ORDER_DELAY_MS)
     }
 
+    /// Notes that a pace order was given up without an answer, so that it may take effect after later ones.
+    pub fn expect_late_pace(&mut self, now_ms: u64) {
+        self.late_pace_until_ms = now_ms + MAX_ORDER_DELAY_MS;
+    }
+
+    /// Returns whether an earlier pace order may have undone the latest one, or still may.
+    #[must_use]
+    pub fn is_pace_uncertain(&self) -> bool {
+        self.pace_sent_at_ms < self.late_pace_until_ms
+    }
+
     /// Forgets that the host confirmed the stop, since its present incarnation has not.
     ///
     /// Another stop order is due.
