--- a/crates/cassiahoist_core/src/event_id.rs
+++ b/crates/cassiahoist_core/src/event_id.rs
@@ -138,6 +138,7 @@
     616 TaskSuspected Info Work "A host was lost under a run, and its task may be the cause.";
     617 SuspicionEnded Info Work "A task that was suspected of crashing its hosts is cleared.";
     618 LateStartAwaited Info Work "A start that was never answered may take effect after a restart of its host; a stop order follows.";
+    619 PaceUnanswered Info Work "A host did not answer a pace order, which may take effect after later ones; they are repeated.";
     620 StartRelayDropped Info Daemon "A peer left start orders, or the request to relay them, without a reply, or declined orders.";
     621 JobLate Info Work "A job was completed after its target.";
     630 RunTimesLearned Info Daemon "How far estimates of a queue's run times were off, every ten seconds at the holder.";
--- a/crates/cassiahoist_runs/src/pace.rs
+++ b/crates/cassiahoist_runs/src/pace.rs
@@ -159,8 +159,15 @@
         }
         OrderOutcome::Refused(_) => true,
     };
+    let (name, run_number) = (run.name, run.run_number);
+    let repeat_ms = run.late_pace_until_ms.saturating_sub(now_ms);
     if !is_pace_known {
         run.pace_percent = None;
         world.runs.next_pace_check_at_ms = world.runs.next_pace_check_at_ms.max(now_ms + PACE_RETRY_MS);
     }
+    if completion.outcome == OrderOutcome::Unknown {
+        let log_record = LogRecord::new(EventId::PaceUnanswered).with("task", name).with("run", run_number);
+        let log_record = log_record.with("host", &completion.order.host_name).with("percent", percent);
+        world.log(log_record.with("repeat_ms", repeat_ms));
+    }
 }
--- a/crates/cassiahoist_standins/tests/systems/pace.rs
+++ b/crates/cassiahoist_standins/tests/systems/pace.rs
@@ -5,7 +5,7 @@
 use cassiahoist_world::spec::StepSpec;
 use cassiahoist_world::unsent::UnsentCause;
 
-use crate::support::{FENCE, TestDaemon, running, running_lists, step, task_name};
+use crate::support::{FENCE, TestDaemon, field, log_records, running, running_lists, step, task_name};
 
 fn filler() -> StepSpec {
     StepSpec { filler: true, task_size: Resources::new(8_000, 100, 0), ..step(1) }
@@ -152,6 +152,8 @@
     assert_eq!(percent, 25);
     holder.tick(800);
     holder.answer(speed_up, OrderOutcome::Unknown, None);
+    let lines = log_records(&holder.effects, EventId::PaceUnanswered);
+    assert_eq!(lines.iter().map(|line| field(line, "percent")).collect::<Vec<_>>(), ["25"]);
     let unanswered_at_ms = holder.now_ms;
     let paces = paces_within(&mut holder, MAX_ORDER_DELAY_MS + 2 * MAX_WRONG_PACE_MS, 150);
     assert!(paces.iter().all(|(_, percent)| *percent == 0), "{paces:?}");
