--- a/crates/cassiahoist_standins/src/soak/network.rs
+++ b/crates/cassiahoist_standins/src/soak/network.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -54,6 +55,12 @@
 /// Path of start orders.
 const START_PATH: &str = "/-/run-start";
 
+/// Header with the name of the host that an order is meant for.
+const EXPECTED_HOST_HEADER: &str = "x-expect-instance";
+
+/// Status by which a host refuses an order that is meant for another one.
+const OTHER_HOST_STATUS: u16 = 421;
+
 /// Path of polls.
 const POLL_PATH: &str = "/-/hold";
 
@@ -258,6 +265,7 @@
         let (sender, receiver) = (Node::Daemon(daemon), node(endpoint));
         let method = request.method().to_string();
         let target = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
+        let expected_host = request.headers().get(EXPECTED_HOST_HEADER).cloned();
         let body = request.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
         if !self.passes(sender, receiver) {
             self.wait_until_passes(sender, receiver).await;
@@ -276,6 +284,9 @@
                 // The order takes effect even if its sender closes the connection.
                 drop(tokio::spawn(async move {
                     tokio::time::sleep(delay).await;
+                    if network.is_for_other_host(host, expected_host.as_ref()) {
+                        return false;
+                    }
                     network.give_order(host, &target, &body, daemon).await.is_ok()
                 }));
                 tokio::time::sleep(delay).await;
@@ -283,6 +294,9 @@
             }
         }
         let (status, reply) = match endpoint {
+            Endpoint::Host(host) if self.is_for_other_host(host, expected_host.as_ref()) => {
+                (OTHER_HOST_STATUS, "{}".into())
+            }
             Endpoint::Host(host) => self.give_order(host, &target, &body, daemon).await?,
             Endpoint::Advice => self.platform().answer(endpoint, &method, &target, &body).await,
             Endpoint::Store => {
@@ -336,6 +350,14 @@
         }
     }
 
+    /// Returns whether an order is meant for another host than the one that is now at its address.
+    fn is_for_other_host(&self, host: usize, expected_host: Option<&HeaderValue>) -> bool {
+        self.platform().with_platform(|platform, _| {
+            let name = platform.registered_hosts[host].host.name.as_str();
+            expected_host.is_some_and(|expected| expected.as_bytes() != name.as_bytes())
+        })
+    }
+
     /// Returns the start of a host's incarnation, in milliseconds since the epoch; `None` while it is down.
     fn host_incarnation(&self, host: usize) -> Option<u64> {
         self.platform().with_platform(|platform, _| {
