--- a/crates/cassiahoist_standins/tests/systems/pace.rs
+++ b/crates/cassiahoist_standins/tests/systems/pace.rs
@@ -92,6 +92,16 @@
     (holder, order)
 }
 
+/// Creates the same holder after the tail has fallen. Returns the order that gives the filler a quarter of the time.
+fn sped_up_filler() -> (TestDaemon, HostOrder) {
+    let (mut holder, pause) = paused_filler();
+    confirm(&mut holder, pause);
+    holder.tick(1_500);
+    let (speed_up, percent) = report_tail(&mut holder, 20).expect("the filler gets faster");
+    assert_eq!(percent, 25);
+    (holder, speed_up)
+}
+
 /// Lets the host list both tasks, and waits for the pace order that follows from the tail latency, in milliseconds.
 fn report_tail(holder: &mut TestDaemon, tail_ms: u64) -> Option<(HostOrder, u8)> {
     let mut serving = running(&task_name(2, 0, 0), 1);
@@ -145,11 +155,7 @@
 /// The holder took the filler for paused, and sent nothing while the serving task stayed over its target (HARM).
 #[test]
 fn pace_is_repeated_while_an_unanswered_order_may_take_effect() {
-    let (mut holder, pause) = paused_filler();
-    confirm(&mut holder, pause);
-    holder.tick(1_500);
-    let (speed_up, percent) = report_tail(&mut holder, 20).expect("the filler gets faster");
-    assert_eq!(percent, 25);
+    let (mut holder, speed_up) = sped_up_filler();
     holder.tick(800);
     holder.answer(speed_up, OrderOutcome::Unknown, None);
     let lines = log_records(&holder.effects, EventId::PaceUnanswered);
@@ -208,11 +214,7 @@
 /// Two orders are under way at a time, and the host may carry them out in either order.
 #[test]
 fn pace_is_repeated_after_an_earlier_order_was_answered_last() {
-    let (mut holder, pause) = paused_filler();
-    confirm(&mut holder, pause);
-    holder.tick(1_500);
-    let (speed_up, percent) = report_tail(&mut holder, 20).expect("the filler gets faster");
-    assert_eq!(percent, 25);
+    let (mut holder, speed_up) = sped_up_filler();
     holder.tick(700);
     let (pause, percent) = report_tail(&mut holder, 150).expect("the filler is paused");
     assert_eq!(percent, 0);
@@ -242,10 +244,7 @@
 /// One repetition is enough, also if a later order had been sent meanwhile.
 #[test]
 fn pace_is_repeated_once_under_a_greater_token() {
-    let (mut holder, pause) = paused_filler();
-    confirm(&mut holder, pause);
-    holder.tick(1_500);
-    let (speed_up, _) = report_tail(&mut holder, 20).expect("the filler gets faster");
+    let (mut holder, speed_up) = sped_up_filler();
     holder.tick(700);
     let (pause, _) = report_tail(&mut holder, 150).expect("the filler is paused");
     confirm(&mut holder, pause);
