--- a/crates/cassiahoist_runs/src/late_starts.rs
+++ b/crates/cassiahoist_runs/src/late_starts.rs
@@ -1,4 +1,4 @@
-//! Starts that hosts never confirmed and that stop orders have settled.
+//! Start orders that hosts never confirmed and may carry out late, after the row of the run was removed.
 //!
 //! A host that confirmed the stop of a run refuses its start, however late that comes. A later incarnation of the host knows
 //! nothing of the stop, so that it has to confirm another one before the task may start again.
@@ -28,7 +28,7 @@
     }
 }
 
-/// Gives a row to a run whose start may take effect late, with the resources that it would use.
+/// Gives a row to a run whose start may take effect late, and reserves the resources that it would use.
 ///
 /// Its task waits for the end of the run, unless it is done, has another run or allows copies.
 pub(crate) fn restore_run(world: &mut World, mut run: Run, now_ms: u64) {
--- a/crates/cassiahoist_runs/src/pace.rs
+++ b/crates/cassiahoist_runs/src/pace.rs
@@ -131,10 +131,42 @@
     spec.filler.then_some(host.filler_pace_percent)
 }
 
-/// Notes whether the pace of a run is known after an answer to a pace order. If it is not, the order is sent again.
+/// What an answer to a pace order calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterPaceAnswer {
+    /// The run has the pace of the latest order.
+    Keep,
+    /// The run may have another pace, so that the present one is sent again.
+    SendAgain,
+    /// The order may take effect late, so that the present pace is sent again until it can't any more.
+    Repeat,
+}
+
+/// Decides what an answer to a pace order calls for; `is_latest` says whether no order with another pace followed it.
 ///
 /// Orders may take effect in another order than that of their answers, and one without an answer after later ones. The host
 /// refuses it only once it has executed an order under a greater fencing token, which the next one may have.
+fn decide_after_pace_answer(
+    outcome: &OrderOutcome,
+    is_latest: bool,
+    is_shut_out_by_next: bool,
+) -> AfterPaceAnswer {
+    match outcome {
+        OrderOutcome::Done { .. } if is_latest => AfterPaceAnswer::Keep,
+        OrderOutcome::Done { .. } => AfterPaceAnswer::SendAgain,
+        OrderOutcome::Unknown if is_shut_out_by_next => AfterPaceAnswer::SendAgain,
+        OrderOutcome::Unknown => AfterPaceAnswer::Repeat,
+        OrderOutcome::Refused(RefusalReason::Unwell | RefusalReason::Fence) | OrderOutcome::NotSent(_)
+            if is_latest =>
+        {
+            AfterPaceAnswer::SendAgain
+        }
+        // The host did nothing, so that the pace of a later order holds, or it no longer has the run.
+        OrderOutcome::Refused(_) | OrderOutcome::NotSent(_) => AfterPaceAnswer::Keep,
+    }
+}
+
+/// Applies an answer to a pace order. If the run may have another pace than its host now, the order is sent again.
 pub(crate) fn apply_pace_answer(
     world: &mut World,
     key: RunKey,
@@ -146,28 +178,25 @@
     let is_shut_out_by_next = next_fence.is_some_and(|fence| fence > completion.order.fence);
     let Some(run) = world.runs.rows.get_mut(key) else { return };
     let is_latest = run.pace_percent == Some(percent);
-    let is_pace_known = match completion.outcome {
-        OrderOutcome::Done { .. } => is_latest,
-        OrderOutcome::Unknown if is_shut_out_by_next => false,
-        OrderOutcome::Unknown => {
-            run.expect_late_pace(now_ms);
-            !is_latest
-        }
-        // The host did nothing, so that the pace of a later order holds.
-        OrderOutcome::Refused(RefusalReason::Unwell | RefusalReason::Fence) | OrderOutcome::NotSent(_) => {
-            !is_latest
-        }
-        OrderOutcome::Refused(_) => true,
-    };
-    let (name, run_number) = (run.name, run.run_number);
-    let repeat_ms = run.late_pace_until_ms.saturating_sub(now_ms);
-    if !is_pace_known {
+    let decision = decide_after_pace_answer(&completion.outcome, is_latest, is_shut_out_by_next);
+    if decision == AfterPaceAnswer::Repeat {
+        run.expect_late_pace(now_ms);
+    }
+    let is_known = decision == AfterPaceAnswer::Keep || (decision == AfterPaceAnswer::Repeat && !is_latest);
+    if !is_known {
         run.pace_percent = None;
         world.runs.next_pace_check_at_ms = world.runs.next_pace_check_at_ms.max(now_ms + PACE_RETRY_MS);
     }
     if completion.outcome == OrderOutcome::Unknown {
-        let log_record = LogRecord::new(EventId::PaceUnanswered).with("task", name).with("run", run_number);
-        let log_record = log_record.with("host", &completion.order.host_name).with("percent", percent);
-        world.log(log_record.with("repeat_ms", repeat_ms));
+        log_unanswered_pace(world, key, percent, now_ms);
     }
 }
+
+fn log_unanswered_pace(world: &mut World, key: RunKey, percent: u8, now_ms: u64) {
+    let Some(run) = world.runs.rows.get(key) else { return };
+    let log_record =
+        LogRecord::new(EventId::PaceUnanswered).with("task", run.name).with("run", run.run_number);
+    let host = world.hosts.get(run.host).map_or("", |host| host.entry.name.as_str());
+    let log_record = log_record.with("host", host).with("percent", percent);
+    world.log(log_record.with("repeat_ms", run.late_pace_until_ms.saturating_sub(now_ms)));
+}
