--- a/crates/cassiahoist_standins/src/soak/plan.rs
+++ b/crates/cassiahoist_standins/src/soak/plan.rs
@@ -93,15 +93,28 @@
     pub disruptions: Vec<PlannedDisruption>,
 }
 
+/// What a plan is made of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlanKind {
+    /// Islands around the holder, and single disruptions.
+    #[default]
+    Islands,
+    /// Hosts that take orders late and restart meanwhile, and single disruptions.
+    LateOrders,
+}
+
 impl Plan {
     /// Draws the plan of a seed; its last disruption ends within `length_ms`.
     #[must_use]
-    pub fn draw(seed: u64, length_ms: u64) -> Self {
+    pub fn draw(kind: PlanKind, seed: u64, length_ms: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut disruptions = Vec::new();
         let mut at_ms = rng.random_range(FIRST_SERIES_MS);
         while at_ms + 1_000 < length_ms {
-            let series_ms = draw_series(&mut rng, at_ms, &mut disruptions);
+            let series_ms = match kind {
+                PlanKind::Islands => draw_series(&mut rng, at_ms, &mut disruptions),
+                PlanKind::LateOrders => draw_late_orders(&mut rng, at_ms, &mut disruptions),
+            };
             let overlap_ms = if rng.random_bool(0.25) { rng.random_range(0..=series_ms / 2) } else { 0 };
             at_ms += series_ms - overlap_ms + rng.random_range(SERIES_GAP_MS);
         }
@@ -114,6 +127,31 @@
     }
 }
 
+/// Draws hosts that take orders late and restart one or more times before the orders arrive, beside other disruptions.
+///
+/// Returns how long they take, in milliseconds.
+fn draw_late_orders(rng: &mut SmallRng, at_ms: u64, disruptions: &mut Vec<PlannedDisruption>) -> u64 {
+    let series_ms = rng.random_range(5_000..12_000);
+    for _ in 0..rng.random_range(2..=5) {
+        let (host, begin_ms) = (rng.random_range(0..HOSTS), at_ms + rng.random_range(0..series_ms));
+        let (delay_ms, for_ms) = (rng.random_range(2_000..12_000), rng.random_range(50..900));
+        let disruption = Disruption::DelayOrders { host, delay_ms };
+        disruptions.push(PlannedDisruption { at_ms: begin_ms, for_ms, disruption });
+        let mut crash_at_ms = begin_ms + for_ms + rng.random_range(100..3_000);
+        for _ in 0..rng.random_range(1..=2) {
+            let for_ms = rng.random_range(50..3_000);
+            let disruption = Disruption::CrashHost(host);
+            disruptions.push(PlannedDisruption { at_ms: crash_at_ms, for_ms, disruption });
+            crash_at_ms += for_ms + rng.random_range(100..4_000);
+        }
+    }
+    for _ in 0..rng.random_range(0..=2) {
+        let begin_ms = at_ms + rng.random_range(0..series_ms);
+        disruptions.push(draw_single(rng, begin_ms));
+    }
+    series_ms
+}
+
 /// Draws disruptions that overlap, from `at_ms` on, and returns how long they take, in milliseconds.
 fn draw_series(rng: &mut SmallRng, at_ms: u64, disruptions: &mut Vec<PlannedDisruption>) -> u64 {
     if rng.random_bool(0.75) {
--- a/crates/cassiahoist_standins/tests/soak.rs
+++ b/crates/cassiahoist_standins/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use cassiahoist_standins::soak::HOSTS;
 use cassiahoist_standins::soak::cuts::{Cut, Cuts, Direction, Node};
-use cassiahoist_standins::soak::plan::{Disruption, Plan};
+use cassiahoist_standins::soak::plan::{Disruption, Plan, PlanKind, PlannedDisruption};
 
 const LENGTH_MS: u64 = 40_000;
 
@@ -18,11 +18,13 @@
 #[test]
 fn plan_follows_from_its_seed_and_ends_in_time() {
     for seed in 0..200 {
-        let plan = Plan::draw(seed, LENGTH_MS);
-        assert_eq!(plan, Plan::draw(seed, LENGTH_MS));
-        assert!(!plan.disruptions.is_empty(), "seed {seed} disrupts nothing");
-        for planned in &plan.disruptions {
-            assert!(planned.at_ms + planned.for_ms <= LENGTH_MS, "seed {seed}: {planned:?}");
+        for kind in [PlanKind::Islands, PlanKind::LateOrders] {
+            let plan = Plan::draw(kind, seed, LENGTH_MS);
+            assert_eq!(plan, Plan::draw(kind, seed, LENGTH_MS));
+            assert!(!plan.disruptions.is_empty(), "{kind:?}, seed {seed} disrupts nothing");
+            for planned in &plan.disruptions {
+                assert!(planned.at_ms + planned.for_ms <= LENGTH_MS, "{kind:?}, seed {seed}: {planned:?}");
+            }
         }
     }
 }
@@ -33,7 +35,7 @@
     let mut kinds = BTreeSet::new();
     let mut islands_with_outage = 0;
     for seed in 0..50 {
-        let plan = Plan::draw(seed, LENGTH_MS);
+        let plan = Plan::draw(PlanKind::Islands, seed, LENGTH_MS);
         for planned in &plan.disruptions {
             kinds.insert(format!("{:?}", planned.disruption).split(['(', ' ']).next().unwrap().to_owned());
             let Disruption::Isolate { hosts, direction: Direction::Both, .. } = planned.disruption else {
@@ -52,6 +54,28 @@
     assert_eq!(kinds.len(), 11, "{kinds:?}");
 }
 
+/// An order that takes effect after a restart of its host needs a crash within its delay.
+#[test]
+fn plans_of_late_orders_restart_hosts_before_the_orders_arrive() {
+    let is_restart_before = |order: &PlannedDisruption, other: &PlannedDisruption| match order.disruption {
+        Disruption::DelayOrders { host, delay_ms } => {
+            other.disruption == Disruption::CrashHost(host)
+                && other.at_ms > order.at_ms
+                && other.at_ms + other.for_ms < order.at_ms + delay_ms
+        }
+        _ => false,
+    };
+    let mut restarts = 0;
+    for seed in 0..50 {
+        let plan = Plan::draw(PlanKind::LateOrders, seed, LENGTH_MS);
+        let orders = plan.disruptions.iter();
+        restarts += orders
+            .filter(|order| plan.disruptions.iter().any(|other| is_restart_before(order, other)))
+            .count();
+    }
+    assert!(restarts >= 150, "only {restarts} such restarts");
+}
+
 /// An island's nodes reach each other and nothing else.
 #[test]
 fn cut_separates_inside_from_outside_both_ways() {
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -8,7 +8,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use cassiahoist_standins::daemon_process::build_daemon;
-use cassiahoist_standins::soak::plan::Plan;
+use cassiahoist_standins::soak::plan::{Plan, PlanKind};
 use cassiahoist_standins::soak::run::{SoakReport, run_soak};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -23,6 +23,7 @@
     seconds: u64,
     seed: u64,
     seeds: u64,
+    kind: PlanKind,
     keep_logs: Option<PathBuf>,
 }
 
@@ -30,11 +31,14 @@
     let seconds = long("seconds").help("Length of each plan, in seconds").argument("S").fallback(40);
     let seed = long("seed").help("First seed").argument("N").fallback(1);
     let seeds = long("seeds").help("Number of seeds").argument("N").fallback(1);
+    let kind = long("late-orders")
+        .help("Let hosts take orders late and restart before that, instead of cutting islands off")
+        .flag(PlanKind::LateOrders, PlanKind::Islands);
     let keep_logs = long("keep-logs")
         .help("Folder in which the daemons' logs are kept, by seed")
         .argument("DIR")
         .optional();
-    construct!(Args { seconds, seed, seeds, keep_logs })
+    construct!(Args { seconds, seed, seeds, kind, keep_logs })
         .to_options()
         .descr("Disrupts real daemon processes by seeded plans")
 }
@@ -96,7 +100,7 @@
     let mut is_clean = true;
     for seed in args.seed..args.seed + args.seeds {
         let length_ms = args.seconds * 1_000;
-        let plan = Plan::draw(seed, length_ms);
+        let plan = Plan::draw(args.kind, seed, length_ms);
         print_plan(&plan);
         let folder = logs.join(format!("seed-{seed}"));
         // The listeners and connections of a seed end with its runtime.
