--- a/crates/cassiahoist_standins/src/soak/plan.rs
+++ b/crates/cassiahoist_standins/src/soak/plan.rs
@@ -94,10 +94,9 @@
 }
 
 /// What a plan is made of.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlanKind {
     /// Islands around the holder, and single disruptions.
-    #[default]
     Islands,
     /// Hosts that take orders late and restart meanwhile, and single disruptions.
     LateOrders,
--- a/crates/cassiahoist_standins/tests/systems/late_starts.rs
+++ b/crates/cassiahoist_standins/tests/systems/late_starts.rs
@@ -18,6 +18,9 @@
 /// Age from which a run is not suspected of crashing its host, in milliseconds.
 const PROVEN_AFTER_MS: u64 = 2_000;
 
+/// Clock of the hosts' first incarnation minus the daemon's, in milliseconds, so that a later one's is behind it.
+const FIRST_CLOCK_OFFSET_MS: u64 = 30_000;
+
 /// How the holder learns of a restart.
 #[derive(Clone, Copy, Debug)]
 enum Notice {
@@ -69,13 +72,13 @@
 /// Lets the first host confirm a stop of its run 1.
 fn confirm_stop(holder: &mut TestDaemon) {
     let stop = await_stop_of(holder, 1).expect("run 1 is stopped");
-    let clock_ms = 30_000 + holder.now_ms;
+    let clock_ms = FIRST_CLOCK_OFFSET_MS + holder.now_ms;
     holder.answer(stop, OrderOutcome::Done { lists: None }, Some(clock_ms));
 }
 
 /// Lets the first host list nothing, on the clock of its first incarnation.
 fn list_nothing(holder: &mut TestDaemon) {
-    let clock_ms = 30_000 + holder.now_ms;
+    let clock_ms = FIRST_CLOCK_OFFSET_MS + holder.now_ms;
     holder.report_lists_at(0, HostLists::default(), clock_ms);
 }
 
@@ -83,7 +86,7 @@
 fn list_second_run(holder: &mut TestDaemon) {
     let progress_percent = (holder.now_ms / 100 % 100) as u32;
     let report = RunReport { progress_percent, ..running(&task_name(1, 0, 0), 2) };
-    holder.report_lists_at(0, running_lists(vec![report]), 30_000 + holder.now_ms);
+    holder.report_lists_at(0, running_lists(vec![report]), FIRST_CLOCK_OFFSET_MS + holder.now_ms);
 }
 
 /// Lets the host confirm the second run and list it, until that one can't have crashed it.
@@ -93,7 +96,7 @@
     }
     assert_eq!(holder.starts()[0].2, 2);
     let start = holder.orders().find(|order| is_start(order)).cloned().unwrap();
-    let clock_ms = 30_000 + holder.now_ms;
+    let clock_ms = FIRST_CLOCK_OFFSET_MS + holder.now_ms;
     holder.answer(start, OrderOutcome::Done { lists: None }, Some(clock_ms));
     for _ in 0..PROVEN_AFTER_MS / 100 {
         holder.tick(100);
@@ -110,9 +113,9 @@
     holder
 }
 
-/// Lets the holder learn that the first host restarted, in its `life`-th incarnation.
-fn restart(holder: &mut TestDaemon, life: u64, notice: Notice) {
-    let started_unix_ms = host_entry(0).started_unix_ms + life * 50_000;
+/// Lets the holder learn that the first host has restarted `restarts` times so far.
+fn restart(holder: &mut TestDaemon, restarts: u64, notice: Notice) {
+    let started_unix_ms = host_entry(0).started_unix_ms + restarts * 50_000;
     match notice {
         Notice::Entry => {
             let entry = HostEntry { started_unix_ms, ..host_entry(0) };
@@ -168,14 +171,14 @@
 }
 
 /// Returns the empty lists of the first host in its second incarnation.
-fn lists_of_second_life() -> HostLists {
+fn lists_after_restart() -> HostLists {
     let started_unix_ms = Some(host_entry(0).started_unix_ms + 50_000);
     HostLists { started_unix_ms, ..HostLists::default() }
 }
 
 /// Lists nothing in the second incarnation of the first host, and leaves other orders unanswered.
 fn list_nothing_after_restart(order: &HostOrder) -> Option<OrderOutcome> {
-    let outcome = OrderOutcome::Done { lists: Some(lists_of_second_life()) };
+    let outcome = OrderOutcome::Done { lists: Some(lists_after_restart()) };
     matches!(order.order, Order::Poll { .. }).then_some(outcome)
 }
 
@@ -191,7 +194,7 @@
         let stop = stop.unwrap_or_else(|| panic!("{notice:?}: the new incarnation may start run 1"));
         let roster_writes = holder.commits(|call| call.purpose == StorePurpose::WriteRoster);
         let clock_ms = holder.now_ms;
-        holder.report_lists_at(0, lists_of_second_life(), clock_ms);
+        holder.report_lists_at(0, lists_after_restart(), clock_ms);
         for write in roster_writes {
             holder.answer_store(write, Ok(StoreReply::Committed { revision: 93 }));
         }
@@ -208,9 +211,9 @@
 #[test]
 fn stop_of_an_unanswered_start_is_repeated_after_each_restart() {
     let mut holder = settled(step(1));
-    for life in 1..3 {
-        restart(&mut holder, life, Notice::Entry);
-        let stop = await_stop_of(&mut holder, 1).unwrap_or_else(|| panic!("incarnation {life}: no stop"));
+    for restarts in 1..3 {
+        restart(&mut holder, restarts, Notice::Entry);
+        let stop = await_stop_of(&mut holder, 1).unwrap_or_else(|| panic!("restart {restarts}: no stop"));
         let clock_ms = holder.now_ms;
         holder.answer(stop, OrderOutcome::Done { lists: None }, Some(clock_ms));
         holder.report_lists_at(0, HostLists::default(), clock_ms + 5);
@@ -238,7 +241,7 @@
         ended: vec![end(1, &task_name(1, 0, 0), 2, RunEnding::Done)],
         ..running_lists(vec![running(&task_name(1, 0, 1), 1)])
     };
-    holder.report_lists_at(0, done, 30_000 + holder.now_ms);
+    holder.report_lists_at(0, done, FIRST_CLOCK_OFFSET_MS + holder.now_ms);
     let task = holder.task(&task_name(1, 0, 0));
     assert_eq!(holder.app.world().jobs.tasks[task].state, TaskState::Done);
     restart(&mut holder, 1, Notice::Entry);
@@ -251,7 +254,7 @@
     let mut holder = settled(step(1));
     let done =
         HostLists { ended: vec![end(1, &task_name(1, 0, 0), 2, RunEnding::Done)], ..HostLists::default() };
-    holder.report_lists_at(0, done, 30_000 + holder.now_ms);
+    holder.report_lists_at(0, done, FIRST_CLOCK_OFFSET_MS + holder.now_ms);
     for _ in 0..20 {
         for call in holder.commits(|call| matches!(call.purpose, StorePurpose::RecordProgress(_))) {
             holder.answer_store(call, Ok(StoreReply::Committed { revision: 95 }));
@@ -352,7 +355,7 @@
     let first_host = start.host;
     holder.answer(start, OrderOutcome::Unknown, None);
     let stop = holder.orders().find(|order| matches!(order.order, Order::Stop { .. })).cloned();
-    let clock_ms = 30_000 + holder.now_ms;
+    let clock_ms = FIRST_CLOCK_OFFSET_MS + holder.now_ms;
     holder.app.world_mut().hosts.get_mut(first_host).unwrap().rules.cordoned = true;
     let stop = stop.expect("run 1 is stopped");
     holder.answer(stop, OrderOutcome::Done { lists: None }, Some(clock_ms));
